--- a/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/src/main/java/mapleroute/sidecar/Exchange.java
@@ -62,16 +62,34 @@
         final Request request;
         final Message message;
         final Client client;
+        final double takenAt;
         final List<Try> tries = new ArrayList<>(2);
         Future<?> overdue;
         boolean concluded;
+        /** How it was concluded and when, for the log. */
+        String conclusion;
+        double concludedAt;
         /** Attempts whose end the module has not been told yet. */
         int out;
 
-        Open(Request request, Message message, Client client) {
+        Open(Request request, Message message, Client client, double takenAt) {
             this.request = request;
             this.message = message;
             this.client = client;
+            this.takenAt = takenAt;
+        }
+
+        /** The request's way in one line: what became of it, and of each of its attempts. */
+        @Override
+        public String toString() {
+            StringBuilder line = new StringBuilder("request ").append(request.id()).append(' ')
+                .append(conclusion).append(" after ").append(Math.round(concludedAt - takenAt)).append(" ms");
+            for (Try made : tries) {
+                line.append("; ").append(made.server).append(' ').append(made.outcome).append(" at ")
+                    .append(Math.round(made.sentAt - takenAt)).append(" ms in ")
+                    .append(Math.round(made.tookMs)).append(" ms");
+            }
+            return line.toString();
         }
     }
 
@@ -83,6 +101,8 @@
         EndpointPool.Attempt attempt;
         Future<?> timeout;
         boolean ended;
+        Outcome outcome;
+        double tookMs;
 
         Try(int number, String server, double sentAt) {
             this.number = number;
@@ -136,7 +156,7 @@
     // ---- what happens ----
 
     void request(Request request, Message message, Client client) {
-        Open open = new Open(request, message, client);
+        Open open = new Open(request, message, client, clock.now());
         table.put(request.id(), open);
         open.overdue = after(request.deadlineMs() - clock.now() + OVERDUE_MS, () -> overdue(open));
         raise(open, now -> module.onRequest(now, request));
@@ -146,7 +166,7 @@
     void clientGone(String id) {
         Open open = table.get(id);
         if (open != null && !open.concluded) {
-            conclude(open);
+            conclude(open, "left by its client");
             raise(open, now -> module.onClientGone(now, id));
         }
     }
@@ -160,7 +180,7 @@
 
     /** Fails a request without the module, and lets the module know that it owes nothing any more. */
     private void abandon(Open open) {
-        conclude(open);
+        conclude(open, "failed");
         open.client.failed();
         raise(open, now -> module.onClientGone(now, open.request.id()));
     }
@@ -209,8 +229,9 @@
                 abandon(open);
             }
         }
-        if (open != null && open.concluded && open.out == 0) {
-            table.remove(open.request.id());
+        if (open != null && open.concluded && open.out == 0
+                && table.remove(open.request.id()) != null) {
+            complaints.say(open.toString());
         }
     }
 
@@ -238,7 +259,7 @@
             try {
                 made.attempt = endpoints.send(server, message(open.message, wait), (outcome, answer) -> {
                     if (outcome == Outcome.OK && !open.concluded) {
-                        conclude(open);
+                        conclude(open, "served");
                         open.client.served(answer);
                     }
                     end(open, made, outcome);
@@ -275,6 +296,8 @@
             made.timeout.cancel(false);
         }
         double took = clock.now() - made.sentAt;
+        made.outcome = outcome;
+        made.tookMs = took;
         raise(open, now -> {
             open.out--;
             module.onFinished(now, new Finished(open.request.id(), made.number, made.server, outcome, took,
@@ -282,8 +305,10 @@
         });
     }
 
-    private void conclude(Open open) {
+    private void conclude(Open open, String how) {
         open.concluded = true;
+        open.conclusion = how;
+        open.concludedAt = clock.now();
         open.overdue.cancel(false);
     }
 
@@ -291,7 +316,7 @@
     public void refuse(String id, double coolDownMs) {
         Open open = table.get(id);
         if (open != null && !open.concluded) {
-            conclude(open);
+            conclude(open, "refused");
             open.client.refused(coolDownMs);
         }
     }
@@ -300,7 +325,7 @@
     public void fail(String id) {
         Open open = table.get(id);
         if (open != null && !open.concluded) {
-            conclude(open);
+            conclude(open, "failed");
             open.client.failed();
         }
     }
