Refuse an answer that is not HTTP/1, a header line without a colon above all

The library's decoder for answers ends a header name at a blank too, finds a header in such a line and goes on. Its decoder for requests does not.

The same leniency let pass a status with a sign or a leading zero, a version that is not 1.x, and a body coded beyond its framing. Discovery's answers are read by the same decoder now.

Ruled out: answers of one request given to another (the bodies match the attempts in the capture), and answers cut short (lengths match).

--- a/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/src/main/java/mapleroute/sidecar/DiscoveryClient.java
@@ -15,10 +15,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
@@ -69,8 +69,8 @@
             .handler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel fresh) {
-                    fresh.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_BODY),
-                        new Calls());
+                    fresh.pipeline().addLast(new HttpRequestEncoder(), new EndpointPool.StrictDecoder(),
+                        new HttpObjectAggregator(MOST_BODY), new Calls());
                 }
             });
     }
--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -14,11 +14,14 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -31,6 +34,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import mapleroute.Contract.Outcome;
 import mapleroute.Contract.State;
 
@@ -208,6 +212,29 @@
         endpoints.values().forEach(EndpointPool::closeAll);
     }
 
+    /** Takes for an answer only what is one: the library's own decoder is lenient with answers. */
+    static final class StrictDecoder extends HttpResponseDecoder {
+        private static final Pattern STATUS = Pattern.compile("[1-9][0-9]{2}");
+
+        @Override
+        protected HttpMessage createMessage(String[] statusLine) {
+            HttpMessage made = super.createMessage(statusLine);
+            if (made.protocolVersion().majorVersion() != 1 || !STATUS.matcher(statusLine[1]).matches()) {
+                throw new IllegalArgumentException("no HTTP/1 status line: " + String.join(" ", statusLine));
+            }
+            return made;
+        }
+
+        /** The library ends a name at a blank too, and so finds a header in a line that has no colon. */
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            if (line[start + length] != ':') {
+                throw new IllegalArgumentException("a header line without a colon after its name");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+    }
+
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final Endpoint endpoint;
         private final int generation;
@@ -249,7 +276,7 @@
         @Override
         public void channelRegistered(ChannelHandlerContext ctx) {
             ctx.pipeline().addBefore(ctx.name(), null, new HttpRequestEncoder());
-            ctx.pipeline().addBefore(ctx.name(), null, new HttpResponseDecoder());
+            ctx.pipeline().addBefore(ctx.name(), null, new StrictDecoder());
             ctx.fireChannelRegistered();
         }
 
@@ -307,7 +334,8 @@
                 if (message instanceof HttpResponse response) {
                     head = response;
                     body = Unpooled.buffer();
-                    if (response.decoderResult().isFailure()) {
+                    if (response.decoderResult().isFailure() || isCoded(response)) {
+                        complaints.log("unreadable answer", response.decoderResult());
                         close();
                         return;
                     }
@@ -320,6 +348,12 @@
             }
         }
 
+        /** Whether the body is coded beyond the framing, which would have to be undone to pass it on. */
+        private static boolean isCoded(HttpResponse response) {
+            return response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream()
+                .anyMatch(coding -> !HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(coding));
+        }
+
         private void take(HttpContent content) {
             if (content.decoderResult().isFailure()
                     || body.readableBytes() + content.content().readableBytes() > MOST_BODY) {
--- a/src/test/java/mapleroute/sidecar/SidecarTest.java
+++ b/src/test/java/mapleroute/sidecar/SidecarTest.java
@@ -90,6 +90,31 @@
 
     // ---- what may have run, and what never did ----
 
+    /** Guards against false answers: what cannot be read as HTTP is a failed attempt that may have run. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nno colon here", "HTTP/1.1 200 OK\r\nX-Note : blank",
+        "HTTP/1.1 +200 OK", "HTTP/1.1 0200 OK", "HTTP/9.1 200 OK", "HTTP/1.1 OK 200",
+        "HTTP/1.1 200 OK\r\nContent-Length: 7", "HTTP/1.1 200 OK\r\nContent-Length: -1",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"})
+    void anUnreadableAnswerIsNotServed(String head) throws Exception {
+        start(new Fake((wire, request) -> wire.send(head + "\r\nContent-Length: 6\r\n\r\nserved")));
+        Wire.Message answer = rig.ask("order", DEADLINE_MS);
+        assertEquals(502, answer.status());
+        assertFalse(answer.body().contains("served"), answer.body());
+        assertEquals(1, rig.attempts());
+    }
+
+    /** Guards against being too strict: what an endpoint may say around its answer does not spoil it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK",
+        "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nX-Load: %%%", "HTTP/1.1 200 OK\r\nX-Empty:"})
+    void aReadableAnswerIsServedWhateverElseItSays(String head) throws Exception {
+        start(new Fake((wire, request) -> wire.send(head + "\r\nContent-Length: 6\r\n\r\nserved")));
+        Wire.Message answer = rig.ask("order", DEADLINE_MS);
+        assertEquals(200, answer.status());
+        assertEquals("served", answer.body());
+    }
+
     /** Guards against effects that happen twice: an unsafe request that may have run is not sent again. */
     @ParameterizedTest
     @ValueSource(strings = {"reset", "half", "unframed", "garbage", "503", "504", "500", "201"})
@@ -299,6 +324,8 @@
             String answer = answers.take();
             if (answer.equals("reset")) {
                 wire.reset();
+            } else if (answer.equals("no colon")) {
+                Fake.answer(wire, 200, "no colon here\r\n", Rig.list(9, true));
             } else {
                 Fake.answer(wire, answer.isEmpty() ? 503 : 200, "", answer);
             }
@@ -327,7 +354,7 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"", "reset", "{\"version\":", "{\"version\":1}"})
+    @ValueSource(strings = {"", "reset", "no colon", "{\"version\":", "{\"version\":1}"})
     void aCallThatFailedIsMadeAgain(String failure) throws Exception {
         rig = new Rig(good());
         rig.askWithinMs = 20;
