Move to the new discovery on SIGHUP in place of ending

Nothing handled SIGHUP, so the virtual machine ended on it, through the hook for SIGTERM. Ruled out: the memory limit (50 of 144 MB).

The file is read again, and a watch at the address it names takes the place of the one that is on. A file that cannot be read changes nothing and is one line in the log.

--- a/src/main/java/mapleroute/Main.java
+++ b/src/main/java/mapleroute/Main.java
@@ -12,6 +12,7 @@
 import mapleroute.benchlink.WireException;
 import mapleroute.sidecar.Sidecar;
 import mapleroute.sidecar.SidecarConfig;
+import sun.misc.Signal;
 
 /** The command line: {@code serve} is one real sidecar, {@code benchlink} the simulator's adapter. */
 public final class Main {
@@ -58,7 +59,10 @@
                 throw new IllegalArgumentException("GW_CONFIG must name the configuration file but is "
                     + configFile);
             }
-            Sidecar sidecar = Sidecar.start(SidecarConfig.read(Path.of(configFile)), errors);
+            Path file = Path.of(configFile);
+            Sidecar sidecar = Sidecar.start(SidecarConfig.read(file), errors);
+            // Unhandled, SIGHUP ends the program; the platform sends it when the file is another.
+            Signal.handle(new Signal("HUP"), signal -> sidecar.reload(file));
             // Halting from the hook, once empty, makes a stop by SIGTERM a clean exit.
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 sidecar.drain();
--- a/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/src/main/java/mapleroute/sidecar/DiscoveryClient.java
@@ -46,7 +46,7 @@
     }
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final ServerList.Names names;
     private final Complaints complaints;
     private final Bootstrap bootstrap;
@@ -105,6 +105,25 @@
         });
     }
 
+    /** Discovery is elsewhere from now on: a new watch there takes the place of the one that may be on. */
+    void move(InetSocketAddress to) {
+        address = to;
+        hangUp();
+        if (silence != null) {
+            silence.cancel(false);
+            silence = null;
+        }
+        watch();
+    }
+
+    private void hangUp() {
+        Channel left = channel;
+        channel = null;
+        if (left != null) {
+            left.close();
+        }
+    }
+
     private void ask() {
         FullHttpRequest call = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
             "/registry/instances?index=" + version + "&wait=" + WAIT_MS, Unpooled.EMPTY_BUFFER);
@@ -113,11 +132,7 @@
     }
 
     private void fail(Object why) {
-        if (channel != null) {
-            Channel broken = channel;
-            channel = null;
-            broken.close();
-        }
+        hangUp();
         if (silence == null) {
             return;
         }
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -25,6 +26,8 @@
 
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
+    private Complaints complaints;
+    private DiscoveryClient discovery;
     private Frontend frontend;
     private InetSocketAddress address;
     private Exchange exchange;
@@ -56,11 +59,11 @@
 
     private void build(SidecarConfig config, PrintStream log) {
         Clock clock = new Clock();
-        Complaints complaints = new Complaints(clock, log);
+        complaints = new Complaints(clock, log);
         int half = Math.max(8, (config.sockets() - SPARE_SOCKETS) / 2);
         EndpointPool endpoints = new EndpointPool(loop, clock, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
-        DiscoveryClient discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
+        discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
         discovery.listen(exchange, config.known().version());
         frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
@@ -92,6 +95,16 @@
         stop();
     }
 
+    /** Takes up what may change while it runs, which is where discovery is; a bad file changes nothing. */
+    public void reload(Path file) {
+        try {
+            InetSocketAddress moved = SidecarConfig.read(file).discovery();
+            loop.execute(() -> discovery.move(moved));
+        } catch (IOException | IllegalArgumentException e) {
+            loop.execute(() -> complaints.log("the new configuration is not taken up", e.getMessage()));
+        }
+    }
+
     /** Where clients connect. */
     InetSocketAddress address() {
         return address;
--- a/src/test/java/mapleroute/MainTest.java
+++ b/src/test/java/mapleroute/MainTest.java
@@ -6,6 +6,10 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -25,6 +29,8 @@
         "classes":[{"name":"read","effect":"repeatable","slo-ms":500,"hard-limit-ms":1000}],
         "limits":{"dial-timeout-ms":200,"idle-close-ms":15000,"try-limit":3},"rules":{}}}""";
 
+    private static final int PATIENCE_MS = 20_000;
+
     @TempDir
     Path folder;
 
@@ -42,11 +48,7 @@
     void aStopBySignalIsACleanExit() throws Exception {
         Process process = serve(CONFIG);
         try (BufferedReader log = process.inputReader()) {
-            String line = log.readLine();
-            while (line != null && !line.contains("warm after")) {
-                line = log.readLine();
-            }
-            assertNotEquals(null, line, "it starts");
+            awaitLine(log, "warm after");
             // This is SIGTERM; unlike Process.destroy it leaves the log readable.
             process.toHandle().destroy();
             assertEquals(0, process.waitFor());
@@ -55,6 +57,46 @@
         }
     }
 
+    /** Guards against an end by SIGHUP, and against a sidecar that keeps to where discovery was. */
+    @Test
+    void aHangUpMovesItToTheNewDiscoveryAndABadFileChangesNothing() throws Exception {
+        try (ServerSocket moved = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            moved.setSoTimeout(PATIENCE_MS);
+            Process process = serve(CONFIG);
+            try (BufferedReader log = process.inputReader()) {
+                awaitLine(log, "warm after");
+                Files.writeString(folder.resolve("config.json"), "{");
+                hangUp(process);
+                awaitLine(log, "the new configuration is not taken up");
+                Files.writeString(folder.resolve("config.json"),
+                    CONFIG.replace("127.0.0.1:1\"", "127.0.0.1:" + moved.getLocalPort() + "\""));
+                hangUp(process);
+                try (Socket watch = moved.accept()) {
+                    watch.setSoTimeout(PATIENCE_MS);
+                    String call = "GET /registry/instances?index=0&wait=";
+                    assertEquals(call, new String(watch.getInputStream().readNBytes(call.length()),
+                        StandardCharsets.US_ASCII));
+                }
+                process.toHandle().destroy();
+                assertEquals(0, process.waitFor());
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static void hangUp(Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static void awaitLine(BufferedReader log, String part) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains(part)) {
+            line = log.readLine();
+        }
+        assertNotEquals(null, line, "it logs: " + part);
+    }
+
     @Test
     void aConfigurationThatIsBadIsOnePlainLine() throws Exception {
         Process process = serve(CONFIG.replace("\"sockets\":1024", "\"sockets\":\"many\""));
