--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -71,16 +71,20 @@
 
     private void warm(SidecarConfig config, PrintStream log) {
         long began = System.nanoTime();
-        loop.execute(() -> new Warmup(loop, config, () -> {
+        loop.execute(() -> new Warmup(loop, config, rounds -> {
             frontend.warm();
-            log.println("mapleroute: warm after " + (System.nanoTime() - began) / 1_000_000 + " ms");
+            log.println("mapleroute: warm after " + (System.nanoTime() - began) / 1_000_000 + " ms and "
+                + rounds + " rounds");
         }).start());
     }
 
     /** Answers all that is in hand and still comes in, then returns; the sidecar has nothing left to do. */
     public void drain() {
         CountDownLatch empty = new CountDownLatch(1);
-        loop.execute(frontend::drain);
+        loop.execute(() -> {
+            complaints.say("draining, with " + exchange.openRequests() + " requests in hand");
+            frontend.drain();
+        });
         loop.schedule(frontend::close, LINGER_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
             if (frontend.isEmpty() && exchange.openRequests() == 0) {
@@ -92,6 +96,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        complaints.say("drained");
         stop();
     }
 
--- a/src/main/java/mapleroute/sidecar/Warmup.java
+++ b/src/main/java/mapleroute/sidecar/Warmup.java
@@ -29,6 +29,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 import mapleroute.Contract.Effect;
 import mapleroute.Contract.RequestClass;
 import mapleroute.Contract.Server;
@@ -47,7 +48,7 @@
 
     private final EventLoop loop;
     private final SidecarConfig config;
-    private final Runnable done;
+    private final IntConsumer done;
     private EndpointPool pool;
     private Frontend frontend;
     private Channel endpoint;
@@ -55,7 +56,7 @@
     private int rounds;
     private boolean over;
 
-    Warmup(EventLoop loop, SidecarConfig config, Runnable done) {
+    Warmup(EventLoop loop, SidecarConfig config, IntConsumer done) {
         this.loop = loop;
         this.config = config;
         this.done = done;
@@ -158,7 +159,7 @@
             frontend.close();
             pool.close();
         }
-        done.run();
+        done.accept(rounds);
     }
 
     private static final class Endpoint extends SimpleChannelInboundHandler<FullHttpRequest> {
