--- a/src/main/java/mapleroute/sidecar/Warmup.java
+++ b/src/main/java/mapleroute/sidecar/Warmup.java
@@ -42,12 +42,12 @@
 final class Warmup {
 
     /**
-     * The classes are loaded by then. To wait for the compiler as well gains clients less than they lose
-     * meanwhile, as a restarted sidecar may be the only one that is up.
+     * The classes are loaded and the most used code is compiled by then; what more would gain is less than
+     * what clients lose meanwhile, as a restarted sidecar may be the only one that is up.
      */
-    private static final int ROUNDS = 30;
+    private static final int ROUNDS = 100;
     /** A busy machine must not keep a sidecar from starting. */
-    private static final int MOST_MS = 750;
+    private static final int MOST_MS = 1500;
 
     private final EventLoop loop;
     private final SidecarConfig config;
