Let a fake server be closed only once nothing can connect to it

whatIsKnownToBeHarmlessIsTriedElsewhere(order, refused) failed once in some ten runs, on a busy machine: 502 where 200 was due. The fake's listener was closed while a thread still waited in accept; until that thread is woken the system sets up connections, which are then reset after the request was written, so the request may have run and is rightly not tried again. The fake now waits for its accepting thread.

--- a/src/test/java/mapleroute/sidecar/Fake.java
+++ b/src/test/java/mapleroute/sidecar/Fake.java
@@ -22,11 +22,12 @@
     final AtomicInteger connections = new AtomicInteger();
     final AtomicInteger open = new AtomicInteger();
     volatile Script script;
+    private final Thread accepting;
 
     Fake(Script script) throws IOException {
         this.script = script;
         listener = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        start(this::accept);
+        accepting = start(this::accept);
     }
 
     static Fake answering(int status, String headers, String body) throws IOException {
@@ -71,14 +72,21 @@
         }
     }
 
-    private static void start(Runnable task) {
+    private static Thread start(Runnable task) {
         Thread thread = new Thread(task, "fake");
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
+    /** Until the accepting thread has left the listener, the system goes on to set up connections to it. */
     @Override
     public void close() throws IOException {
         listener.close();
+        try {
+            accepting.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 }
