Answer a peer that sends no whole request in time with 408, and close

A timer runs from the connect, and on a kept connection from a request's first byte, until the request is there; a request in hand is not bound by it. What comes behind a request that ends the connection is not taken any more.

Without the change the new tests time out.

--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -25,6 +26,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -35,6 +37,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import mapleroute.Contract.Request;
 import mapleroute.Contract.Settings;
 
@@ -49,6 +52,8 @@
     /** Connections above the bound that are still taken in, to refuse what they ask in good order. */
     private static final int OVERFLOW = 48;
     private static final double OVERFLOW_COOL_DOWN_MS = 1000;
+    /** A peer must have an error or a close 3 s after it connected, or began one on a kept connection. */
+    private static final int WHOLE_REQUEST_MS = 2250;
     /** Headers that concern one connection only. */
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
         HttpHeaderNames.PROXY_CONNECTION, "keep-alive", HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
@@ -90,8 +95,15 @@
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel accepted) {
-                    accepted.pipeline().addLast(new HttpServerCodec(),
-                        new HttpObjectAggregator(EndpointPool.MOST_BODY, true), new Connection(accepted));
+                    Connection connection = new Connection(accepted);
+                    accepted.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+                        @Override
+                        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                            connection.awaitWholeRequest();
+                            ctx.fireChannelRead(bytes);
+                        }
+                    }, new HttpServerCodec(), new HttpObjectAggregator(EndpointPool.MOST_BODY, true),
+                        connection);
                 }
             })
             .bind(address);
@@ -141,6 +153,8 @@
         private final Channel channel;
         /** In the order of the requests, which is the order that HTTP asks answers to be in. */
         private final Deque<Reply> replies = new ArrayDeque<>();
+        /** Runs from the connect or a request's first byte until the request is there. */
+        private Future<?> incomplete;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -151,12 +165,35 @@
             connections.add(this);
             mindRoom();
             idle.add(this);
+            awaitWholeRequest();
         }
 
+        private void awaitWholeRequest() {
+            if (incomplete == null) {
+                incomplete = loop.schedule(this::tooSlow, WHOLE_REQUEST_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void wholeRequestCame() {
+            if (incomplete != null) {
+                incomplete.cancel(false);
+                incomplete = null;
+            }
+        }
+
+        private void tooSlow() {
+            Reply reply = new Reply(this);
+            replies.add(reply);
+            idle.remove(this);
+            reply.plain(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time", false);
+        }
+
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
             idle.remove(this);
+            wholeRequestCame();
             mindRoom();
             for (Reply reply : List.copyOf(replies)) {
                 if (reply.id != null && reply.response == null) {
@@ -168,6 +205,11 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            if (!replies.isEmpty() && !replies.peekLast().keepAlive) {
+                // The connection ends with that answer.
+                return;
+            }
+            wholeRequestCame();
             Reply reply = new Reply(this);
             replies.add(reply);
             idle.remove(this);
--- a/src/test/java/mapleroute/sidecar/SidecarTest.java
+++ b/src/test/java/mapleroute/sidecar/SidecarTest.java
@@ -488,6 +488,41 @@
         assertTrue(rounds > 0 && rounds <= 100, "rounds: " + rounds);
     }
 
+    /** Guards against peers that hold a connection: silent, or slow with a first or a later request. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "GET /api HT", "POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf"})
+    void aPeerWithoutAWholeRequestIsToldSoAndClosed(String part) throws Exception {
+        start(good());
+        try (Wire fresh = rig.client(); Wire kept = rig.client()) {
+            fresh.send(part);
+            assertEquals(200, kept.send(rig.request("read", DEADLINE_MS)).read().status());
+            kept.send(part.isEmpty() ? "\r\n" : part);
+            for (Wire peer : List.of(fresh, kept)) {
+                Wire.Message answer = peer.read();
+                assertEquals(408, answer.status());
+                assertEquals("close", answer.headers().get("connection"));
+                peer.awaitEnd();
+            }
+        }
+        assertEquals(1, rig.attempts());
+    }
+
+    /** Guards against closing too much: a client whose request is in hand waits as long as it takes. */
+    @Test
+    void aRequestInHandIsNoSlowPeer() throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        start(new Fake((wire, request) -> {
+            closed.await();
+            Fake.answer(wire, 200, "", "served");
+        }));
+        try (Wire client = rig.client(); Wire silent = rig.client()) {
+            client.send(rig.request("order", DEADLINE_MS));
+            silent.awaitEnd();
+            closed.countDown();
+            assertEquals(200, client.read().status());
+        }
+    }
+
     /** Guards against one bad peer that harms the rest. */
     @Test
     void rudePeersHarmNobody() throws Exception {
