Start the first tier's limit from calls at work, not from all calls that a server holds

The limit started from four calls a server, two for each core, as if a call kept its core busy all the time. Where services stand in tiers it is at work there for a part of its time and waits for the tiers below in the rest; it now starts from that figure times the tiers, and grows by leaps no further than it started.

--- a/src/main/java/mapleroute/Contract.java
+++ b/src/main/java/mapleroute/Contract.java
@@ -98,13 +98,14 @@
     }
 
     /** All that a balancer is told when it starts. */
-    public record Settings(int balancers, int ownNumber, int ownZone, int tier, boolean asksForList,
-            boolean weighted, double overShareWorth, double crossZonePrice, List<RequestClass> classes,
-            List<Tenant> tenants, Limits limits, Rules rules) {
+    public record Settings(int balancers, int ownNumber, int ownZone, int tier, int tiers,
+            boolean asksForList, boolean weighted, double overShareWorth, double crossZonePrice,
+            List<RequestClass> classes, List<Tenant> tenants, Limits limits, Rules rules) {
         public Settings {
             positive("balancers", balancers);
             notNegative("ownNumber", ownNumber);
             notNegative("tier", tier);
+            positive("tiers", tiers);
             notNegative("overShareWorth", overShareWorth);
             notNegative("crossZonePrice", crossZonePrice);
             finite("crossZonePrice", crossZonePrice);
--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -101,7 +101,7 @@
     private static final double CUT = 0.85;
     /** Calls a server, over all balancers, that the limit stays above: some must show when all is well. */
     private static final double LEAST_CALLS = 0.5;
-    /** Calls a server, over all balancers, that the limit starts from: two for each of two cores. */
+    /** Calls at work at a server, over all balancers, that the limit starts from: two a core. */
     private static final double FIRST_CALLS = 4;
     /** While answers are slow, no server may hold more than this multiple of what the limit stands for. */
     private static final double CASCADE = 2;
@@ -1113,8 +1113,10 @@
             }
         }
         if (limit == 0) {
-            limit = Math.min(CEILING, Math.max(1, FIRST_CALLS * ready / settings.balancers()));
-            quickUntil = 2 * limit;
+            // A call is at work at its server for a part of its time only: the rest it waits for lower tiers.
+            double first = FIRST_CALLS * (settings.tiers() - settings.tier());
+            limit = Math.min(CEILING, Math.max(1, first * ready / settings.balancers()));
+            quickUntil = limit;
         }
         meanWeight = ready == 0 || weights <= 0 ? 1 : weights / ready;
         known.sort(Comparator.comparingLong(this::ringOrder).thenComparing(t -> t.id));
--- a/src/main/java/mapleroute/SettingsReader.java
+++ b/src/main/java/mapleroute/SettingsReader.java
@@ -72,6 +72,7 @@
         String weights = text(p, "weight-kind", "silent");
         return new Settings((int) number(p, "replicas-of-me", 1), (int) number(p, "slot-no", 0),
                 (int) number(p, "zone", 0), (int) number(p, "tier", 0),
+                p.get("layers") instanceof List<?> layers && !layers.isEmpty() ? layers.size() : 1,
                 text(p, "membership-mode", "pushed").equals("on_request"),
                 weights.equals("nominal") || weights.equals("rough"), number(p, "over-share-worth", 1),
                 number(map(p, "prices"), "cross-zone", 0), classes, tenants, limits, rules);
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -17,6 +17,7 @@
 import mapleroute.Contract.ListKind;
 import mapleroute.Contract.Load;
 import mapleroute.Contract.Outcome;
+import mapleroute.Contract.Settings;
 import mapleroute.Contract.State;
 import mapleroute.Contract.Tenant;
 import org.junit.jupiter.api.Test;
@@ -373,6 +374,20 @@
         assertEquals(92, f.host.refused.size());
     }
 
+    /** Guards against refusals while servers idle at the start: most of its time a call waits (day 2). */
+    @Test
+    void theFirstTierTakesMoreCallsTheMoreTiersTheyWaitFor() {
+        Settings one = Fixture.settings(10, 0, 0, true);
+        Fixture f = new Fixture(new Settings(one.balancers(), one.ownNumber(), one.ownZone(), one.tier(), 3,
+            one.asksForList(), one.weighted(), one.overShareWorth(), one.crossZonePrice(), one.classes(),
+            one.tenants(), one.limits(), one.rules()));
+        f.list(Fixture.servers(20));
+        for (int i = 0; i < 100; i++) {
+            f.request(Fixture.REPEATABLE);
+        }
+        assertEquals(24, f.host.sent.size(), "four at work a server over ten balancers, and three tiers");
+    }
+
     /** Guards against a jam that stays: answers that eat the aim must bring the limit down. */
     @Test
     void slowAnswersLowerTheLimitAndQuickOnesRaiseIt() {
--- a/src/test/java/mapleroute/EmbeddingExampleTest.java
+++ b/src/test/java/mapleroute/EmbeddingExampleTest.java
@@ -27,7 +27,7 @@
         Recorder recorder = new Recorder();
         Actions sidecar = recorder;
         // README: begin
-        Settings settings = new Settings(3, 0, 0, 0, false, false, 0.1, 0,
+        Settings settings = new Settings(3, 0, 0, 0, 1, false, false, 0.1, 0,
             List.of(new RequestClass("read", 300, 1000, 1, 0, Effect.REPEATABLE, Group.ALL, 0, false)),
             List.of(),
             new Limits(3, true, true, 2000, 250),
--- a/src/test/java/mapleroute/Fixture.java
+++ b/src/test/java/mapleroute/Fixture.java
@@ -38,7 +38,7 @@
             new RequestClass("read", 1000, 3000, 1, 0, Effect.REPEATABLE, Group.ALL, 0, false),
             new RequestClass("order", 1000, 3000, 1, 0.5, Effect.ONCE, Group.ALL, 0, false),
             new RequestClass("save", 1000, 3000, 1, 0.5, Effect.BY_KEY, Group.CELL, 800, false));
-        return new Settings(balancers, own, 0, tier, false, true, 0.1, 0, classes, List.of(tenants),
+        return new Settings(balancers, own, 0, tier, 1, false, true, 0.1, 0, classes, List.of(tenants),
             new Limits(3, parallel, true, 2000, 200),
             new Rules(0.3, 8000, 3, 1000, 1000, 10_000));
     }
