Strike no server for an error late in its call's time

The log of one play: all 146 calls of the first tier that ended in an error then had been out for 200 to 363 ms, as calls to the tiers behind ran out of the time they were given (TIMED_OUT there). Each such 500 counted against the server that passed it on: 3 of 4 were on trial at both sidecars, one call at a time, and calls were refused with 8 to 14 in flight. An error now speaks against a server only in the first half of the attempt's time; its slot is discarded either way.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -54,6 +54,8 @@
     private static final double CONNECT_GAIN = 1.0 / 4;
     private static final double CONNECT_FADE = 0.99;
     private static final double CONNECT_ROUNDS = 4;
+    /** An error after this part of an attempt's time is a late one: servers that are sick fail quickly. */
+    private static final double LATE_ERROR = 0.5;
     /** The most doublings of a failing server's pause. */
     private static final int MOST_DOUBLINGS = 5;
     /** A server silent for so many of its usual gaps hangs: at random gaps that is 2 in 100 by chance. */
@@ -671,7 +673,7 @@
         lastTook = finished.tookMs();
         learn(now, call, attempt, finished);
         judgeCrowding(now, call, attempt.slot().target, finished);
-        release(now, attempt.slot(), finished.outcome(), isFailure(call, finished));
+        release(now, attempt.slot(), finished.outcome(), isFailure(call, attempt, finished));
         if (finished.concluded()) {
             call.answered = true;
         } else if (!call.answered && !(mayRetry(now, call, finished.outcome()) && place(now, call))) {
@@ -729,10 +731,14 @@
         return true;
     }
 
-    /** Whether an outcome speaks against the server: a time-out does only if it was a long one. */
-    private boolean isFailure(Call call, Finished finished) {
+    /**
+     * Whether an outcome speaks against the server: a time-out does only if it was a long one, and an error
+     * only if it came early. Late ones are of calls behind it that ran out of the time they were given.
+     */
+    private boolean isFailure(Call call, Attempt attempt, Finished finished) {
         return switch (finished.outcome()) {
-            case FAILED, CONNECT_ERROR, RESET -> true;
+            case CONNECT_ERROR, RESET -> true;
+            case FAILED -> finished.tookMs() < attempt.timeoutMs() * LATE_ERROR;
             case TIMED_OUT -> finished.tookMs() >= learned[call.request.requestClass()].tailMs;
             default -> false;
         };
@@ -774,6 +780,9 @@
         } else if (outcome == Outcome.OK) {
             // Only an answer shows that a server is well: one that hangs ends calls too, by time-outs.
             recover(now, target);
+        } else if (outcome == Outcome.FAILED) {
+            drop(slot);
+            offer(now, target);
         }
         if (outcome == Outcome.QUEUE_FULL) {
             fullServers++;
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -696,6 +696,24 @@
         assertEquals(before + 1, f.host.sent.size(), "something is still tried");
     }
 
+    /** Guards against trials for servers whose calls to the tiers behind ran out of time (page5722). */
+    @Test
+    void anErrorLateInACallsTimeDoesNotSpeakAgainstTheServer() {
+        for (double part : new double[] {0.1, 0.8}) {
+            Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(1));
+            for (int i = 0; i < 2; i++) {
+                f.request(Fixture.ONCE);
+                f.now += 700;
+                f.finish(f.host.last(), Outcome.FAILED, part * f.host.last().timeoutMs());
+            }
+            int before = f.host.sent.size();
+            for (int i = 0; i < 3; i++) {
+                f.request(Fixture.REPEATABLE);
+            }
+            assertEquals(part > 0.5, f.host.sent.size() - before == 3, "all sent after errors at " + part);
+        }
+    }
+
     /** Guards against many balancers flooding a server that has just started: one call each is too much. */
     @Test
     void aColdServerGetsNoMoreThanTheWarmPartOfItsArc() {
