Answer 400 to a request that has not the form of its class

The class decides the method: what is safe to repeat is a GET without a body, a keyed request a POST with its key. The front end took any GET or POST, and an id given twice, and passed them on: a server answers such a request 400, and one that no client sent as its own breaks the rule on duplicates. The warm-up sends a key now.

Found by reading the protocol against the code; no play has shown it. The new tests failed before.

--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -38,13 +38,16 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import mapleroute.Contract.Effect;
 import mapleroute.Contract.Request;
+import mapleroute.Contract.RequestClass;
 import mapleroute.Contract.Settings;
 
 /** The listener for clients: parses requests, answers what is no request, writes the final answers. */
 final class Frontend {
 
     static final String DEADLINE = "X-Deadline-Ms";
+    static final String KEY = "Idempotency-Key";
     private static final String ID = "X-Request-Id";
     private static final int BACKLOG = 1024;
     /** Requests that a client may send ahead of their answers on one connection. */
@@ -64,6 +67,7 @@
     private final Complaints complaints;
     private final Exchange exchange;
     private final int most;
+    private final List<RequestClass> kinds;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
     private final Set<Connection> connections = new LinkedHashSet<>();
@@ -82,7 +86,8 @@
         this.complaints = complaints;
         this.exchange = exchange;
         this.most = most;
-        settings.classes().forEach(kind -> classes.put(kind.name(), classes.size()));
+        kinds = settings.classes();
+        kinds.forEach(kind -> classes.put(kind.name(), classes.size()));
         settings.tenants().forEach(tenant -> tenants.put(tenant.name(), tenants.size()));
     }
 
@@ -243,14 +248,16 @@
             long deadline = deadline(headers.get(DEADLINE, ""));
             if (!request.method().equals(HttpMethod.GET) && !request.method().equals(HttpMethod.POST)) {
                 reply.plain(HttpResponseStatus.METHOD_NOT_ALLOWED, "only GET and POST are served", true);
-            } else if (id == null || id.isEmpty()) {
-                reply.plain(HttpResponseStatus.BAD_REQUEST, ID + " is missing", true);
+            } else if (id == null || id.isEmpty() || headers.getAll(ID).size() > 1) {
+                reply.plain(HttpResponseStatus.BAD_REQUEST, ID + " is missing or there twice", true);
             } else if (kind == null) {
                 reply.plain(HttpResponseStatus.BAD_REQUEST, "X-Class is missing or unknown", true);
             } else if (tenant == null) {
                 reply.plain(HttpResponseStatus.BAD_REQUEST, "X-Tenant is missing or unknown", true);
             } else if (deadline < 0) {
                 reply.plain(HttpResponseStatus.BAD_REQUEST, DEADLINE + " is no whole number", true);
+            } else if (!isOfItsClass(kinds.get(kind), request)) {
+                reply.plain(HttpResponseStatus.BAD_REQUEST, "not the form of its class", true);
             } else if (exchange.has(id)) {
                 reply.plain(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand", true);
             } else if (connections.size() > most) {
@@ -263,6 +270,15 @@
             }
         }
 
+        /** What is safe to repeat is a GET without a body, all else a POST; a keyed one has its key. */
+        private static boolean isOfItsClass(RequestClass kind, FullHttpRequest request) {
+            if (kind.effect() == Effect.REPEATABLE) {
+                return request.method().equals(HttpMethod.GET) && !request.content().isReadable();
+            }
+            return request.method().equals(HttpMethod.POST)
+                && (kind.effect() != Effect.BY_KEY || !request.headers().get(KEY, "").isEmpty());
+        }
+
         private Exchange.Message message(FullHttpRequest request) {
             HttpHeaders headers = request.headers().copy();
             HOP_BY_HOP.forEach(headers::remove);
--- a/src/main/java/mapleroute/sidecar/Warmup.java
+++ b/src/main/java/mapleroute/sidecar/Warmup.java
@@ -141,7 +141,7 @@
             safe ? HttpMethod.GET : HttpMethod.POST, "/api",
             safe ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(new byte[128]));
         request.headers().set("X-Request-Id", "warm-up-" + rounds).set("X-Class", kind.name())
-            .set(Frontend.DEADLINE, MOST_MS).set("Host", "warm-up").set("Cookie", "key=0")
+            .set(Frontend.DEADLINE, MOST_MS).set("Host", "warm-up").set(Frontend.KEY, "0")
             .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         if (!config.settings().tenants().isEmpty()) {
             request.headers().set("X-Tenant", config.settings().tenants().get(0).name());
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -56,12 +56,14 @@
             "settings":{"azs":["a"],"models":["m"],"replicas-of-me":1,"slot-no":0,"tier":0,"zone":0,
             "membership-mode":"on_request","classes":[
             {"name":"read","effect":"repeatable","group":"all","hard-limit-ms":9000,"slo-ms":%d,"worth":1},
-            {"name":"order","effect":"once","group":"all","hard-limit-ms":9000,"slo-ms":%d,"worth":1}],
+            {"name":"order","effect":"once","group":"all","hard-limit-ms":9000,"slo-ms":%d,"worth":1},
+            {"name":"save","effect":"by_key","group":"all","hard-limit-ms":9000,"slo-ms":%d,"worth":1,
+            "memory-span-ms":9000}],
             "limits":{"cancel":true,"dial-timeout-ms":2000,"idle-close-ms":%d,"max-retry-after-ms":2000,
             "parallel-tries":true,"retry-after":false,"try-limit":3},
             "rules":{"cold-share":0.5,"cold-ms":1000,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
             "ask-within-ms":%d}}}""".formatted(discovery.address(), sockets, list(1, true,
-                lines.toArray(String[]::new)), aimMs, aimMs, idleCloseMs, askWithinMs);
+                lines.toArray(String[]::new)), aimMs, aimMs, aimMs, idleCloseMs, askWithinMs);
     }
 
     Rig start() throws IOException {
--- a/src/test/java/mapleroute/sidecar/SidecarConfigTest.java
+++ b/src/test/java/mapleroute/sidecar/SidecarConfigTest.java
@@ -34,7 +34,7 @@
         assertEquals(15_000, config.idleCloseMs());
         assertEquals(1, config.known().version());
         assertEquals("s0", config.known().entries().get(0).server().id());
-        assertEquals(2, config.settings().classes().size());
+        assertEquals(3, config.settings().classes().size());
     }
 
     @ParameterizedTest
--- a/src/test/java/mapleroute/sidecar/SidecarTest.java
+++ b/src/test/java/mapleroute/sidecar/SidecarTest.java
@@ -269,7 +269,8 @@
         "X-Class: read|X-Class: novel|400", "X-Class: read|Y: z|400", "X-Request-Id: r0|Y: z|400",
         "X-Deadline-Ms: 8000|X-Deadline-Ms: soon|400", "X-Deadline-Ms: 8000|Y: z|400",
         "/api?q=1|/other|404", "GET /api|PUT /api|405", "HTTP/1.1|HTTP|400",
-        "Host: app.svc|Content-Length: 65537|413"})
+        "Host: app.svc|Content-Length: 65537|413", "GET /api|POST /api|400",
+        "X-Class: read|X-Class: order|400", "Host: app.svc|X-Request-Id: r9|400"})
     void whatIsNoRequestGetsAPlainAnswer(String part, String instead, int status) throws Exception {
         CountDownLatch release = new CountDownLatch(1);
         start(new Fake((wire, request) -> {
@@ -288,6 +289,21 @@
         assertEquals(1, rig.attempts());
     }
 
+    /** Guards against passing on what no client sends: the endpoint would not know it for a request. */
+    @Test
+    void aRequestThatHasNotTheFormOfItsClassReachesNoEndpoint() throws Exception {
+        start(good());
+        String read = rig.request("read", DEADLINE_MS);
+        String save = rig.request("order", DEADLINE_MS).replace("order", "save");
+        try (Wire client = rig.client()) {
+            assertEquals(400, client.send(read.replace("\r\n\r\n", "\r\nContent-Length: 1\r\n\r\nb")).read()
+                .status());
+            assertEquals(400, client.send(save.replace("Idempotency-Key", "Y")).read().status());
+            assertEquals(0, rig.attempts());
+            assertEquals(200, client.send(save).read().status());
+        }
+    }
+
     @Test
     void anIdThatIsInHandIsNotTakenTwice() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
