Let clients hold the third of the descriptors that the terms give them

Set aside are now 80: the 48 connections that are taken in to be refused, and 32 for files, selectors and the like.

--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -19,8 +19,11 @@
 
     /** One small arena: messages are of a few hundred bytes, and memory is tight. */
     static final ByteBufAllocator BUFFERS = new PooledByteBufAllocator(true, 1, 1, 8192, 4, 0, 0, false);
-    /** Descriptors for all that is no connection: files, selectors, the listener, discovery. */
-    private static final int SPARE_SOCKETS = 128;
+    /**
+     * Descriptors for files, selectors, the listener, discovery, and clients that are only refused. Clients
+     * may use a third of all for requests, which half of the rest must not fall short of.
+     */
+    private static final int SPARE_SOCKETS = 80;
     /** New connections still come for a while after SIGTERM: until then the listener stays open. */
     private static final int LINGER_MS = 600;
     /** SIGKILL comes no sooner than this after the longest deadline, which counts as 3 s at most. */
--- a/src/test/java/mapleroute/sidecar/SidecarTest.java
+++ b/src/test/java/mapleroute/sidecar/SidecarTest.java
@@ -262,6 +262,26 @@
         assertEquals(200, rig.ask("order", DEADLINE_MS).status());
     }
 
+    /** Guards against a bound below what clients may use: a third of the descriptors (r48b22d). */
+    @ParameterizedTest
+    @ValueSource(ints = {256, 384})
+    void clientsMayHoldAThirdOfTheDescriptors(int sockets) throws Exception {
+        rig = new Rig(good());
+        rig.sockets = sockets;
+        rig.start();
+        List<Wire> clients = new ArrayList<>();
+        for (int i = 0; i < sockets / 3; i++) {
+            clients.add(rig.client());
+        }
+        for (Wire client : clients) {
+            assertEquals(200, client.send(rig.request("read", DEADLINE_MS)).read().status());
+            assertEquals(200, client.send(rig.request("read", DEADLINE_MS)).read().status());
+        }
+        for (Wire client : clients) {
+            client.close();
+        }
+    }
+
     // ---- what is no request ----
 
     @ParameterizedTest
