Ask discovery again soon after a failed call, in jittered waits that back off

What discovery had to tell counts as told 2 s after such a call.

Ruled out: the module sending to a server its list calls draining (no log shows a send after the list came); a start of the next watch more than 200 ms after an answer (calls follow answers at once).

At fault: Decide.onServers, which asked again within ask-within (10 s) times the number of failures, up to 40 s. Now within 0.5 s, then 1, 2 and 4 s, at a random time from the given seed.

Test: afterAFailedCallForTheListTheNextComesSoonAndLaterOnesBackOff.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -113,6 +113,13 @@
     private static final long RING_MIX = 0x9E3779B1L;
     /** The operators get a line on trouble at most once in this time. */
     private static final double REPORT_MS = 10_000;
+    /**
+     * The first call after a failed one comes within this part of the time to ask within, later ones within
+     * twice as long each, up to so many doublings. News counts as told a few seconds after it is there:
+     * waits as long as those between calls that succeed would send to servers that are gone by then.
+     */
+    private static final double ASK_AGAIN = 0.05;
+    private static final int ASK_DOUBLINGS = 3;
     /** Name of the timer for the next request for the list. */
     private static final long ASK_TIMER = 1;
 
@@ -1089,7 +1096,8 @@
     public void onServers(double now, ListKind kind, List<Contract.Server> entries) {
         if (kind == ListKind.FAILED) {
             askFailures++;
-            askForList(settings.rules().askWithinMs() * Math.min(askFailures, 4));
+            askForList(settings.rules().askWithinMs() * ASK_AGAIN
+                * (1 << Math.min(askFailures - 1, ASK_DOUBLINGS)));
             return;
         }
         askFailures = 0;
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -299,6 +299,30 @@
         assertEquals(1, f.host.timers.size(), "it asks again later");
     }
 
+    /** Guards against sends to servers that are gone: news counts as told 2 s after a call was cut short. */
+    @Test
+    void afterAFailedCallForTheListTheNextComesSoonAndLaterOnesBackOff() {
+        List<Double> first = new ArrayList<>();
+        List<Double> late = new ArrayList<>();
+        for (int seed = 0; seed < 40; seed++) {
+            Recorder host = new Recorder();
+            Decide balancer = new Decide(Fixture.settings(1, 0, 1, true), seed, host);
+            balancer.onServers(0, ListKind.FULL, Fixture.servers(2));
+            for (int failures = 0; failures < 8; failures++) {
+                balancer.onServers(failures, ListKind.FAILED, List.of());
+            }
+            first.add(host.timers.get(0));
+            late.add(host.timers.get(7));
+            balancer.onServers(10, ListKind.DELTA, List.of());
+            balancer.onServers(11, ListKind.FAILED, List.of());
+            assertTrue(host.timers.get(8) <= 500, "a call that succeeded ends the backing off");
+        }
+        assertTrue(Collections.max(first) <= 500, "the first comes soon: " + first);
+        assertTrue(Collections.max(late) <= 4000, "however many failed: " + late);
+        assertTrue(Collections.max(late) > 4 * Collections.max(first), "later ones back off: " + late);
+        assertTrue(first.stream().distinct().count() == first.size(), "no two together: " + first);
+    }
+
     // ---- connections ----
 
     /** So many calls on each of three servers: all are answered but the last on the lowest-ranked one. */
