Ask discovery to wait 4 s at most, so that a silent watch is noticed in 5 s and not in 22

Sidecar n0 logged "no answer in time" at 22.7 s; from 12 s on its calls went to servers that turned them away as draining or refused connections, and from 15 s it served 0 to 30 a second where n1, which had the news, served 45 to 70.

Ruled out: an overload of discovery by shorter waits: of 65 answers 51 came at the end of their wait, none more than 31 ms later, and no call got a 503; failures were 9 silent watches (all noticed), 2 resets, 1 list cut short.

At fault: DiscoveryClient.WAIT_MS (20 s) and SILENCE_MS (2 s, which leaves no time for a second call before the 2 s are over after which news counts as told). Waits are now 3 to 4 s, spread from the given seed, because news ends the waits of all sidecars together.

--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -84,7 +84,8 @@
         int half = Math.max(8, (config.sockets() - SPARE_SOCKETS) / 2);
         EndpointPool endpoints = new EndpointPool(loop, clock, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
-        discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints);
+        discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints,
+            config.seed());
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
         discovery.listen(exchange, config.known().version());
         frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
