Count unreachable servers apart when half look bad, so that a lost zone is left

Two servers were cut off, a third answered with quick errors, so "3 of 4 on trial", and from then on no failure put a server aside.

At fault: Decide.blamedOnShared, which took servers that cannot be reached and servers that err for one trouble that all share.

Test: serversThatCannotBeReachedAreLeftThoughAnotherErrs.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -172,6 +172,8 @@
         /** After repeated failure: one slot at a time until it has answered often enough. */
         boolean onTrial;
         int trialAnswers;
+        /** What put it there last was a connect that failed. */
+        boolean unreachable;
         double slowness = 1;
         double cost = 1;
         /** Its place on the ring of balancers, the same at every balancer that has the same list. */
@@ -459,7 +461,7 @@
      */
     private boolean hangs(double now, Target target) {
         return target.answerGapMs > 0 && now - target.lastAnswer > HANG_GAPS * target.answerGapMs
-            && !blamedOnShared();
+            && !blamedOnShared(Outcome.TIMED_OUT);
     }
 
     /**
@@ -781,8 +783,8 @@
         if (alive) {
             drop(slot);
             pause(now, target, settings.limits().connectTimeoutMs() * 2);
-        } else if (failed && !blamedOnShared()) {
-            strike(now, target);
+        } else if (failed && !blamedOnShared(outcome)) {
+            strike(now, target, outcome);
             drop(slot);
         } else if (outcome == Outcome.OK) {
             // Only an answer shows that a server is well: one that hangs ends calls too, by time-outs.
@@ -828,13 +830,19 @@
         return false;
     }
 
-    /** When half of all servers look bad, something they share is: giving them up would leave none. */
-    private boolean blamedOnShared() {
-        return ailing * 2 > ready;
+    /**
+     * When half of all servers look bad, something they share is: giving them up would leave none. Servers
+     * that cannot be reached share less than those that err or are slow, a zone at most: each kind counts
+     * alone.
+     */
+    private boolean blamedOnShared(Outcome outcome) {
+        boolean unreachable = outcome == Outcome.CONNECT_ERROR;
+        return known.stream().filter(t -> t.onTrial && t.unreachable == unreachable).count() * 2 > ready;
     }
 
     /** A failure: the server pauses, longer each time; at the second in a row it loses all its slots. */
-    private void strike(double now, Target target) {
+    private void strike(double now, Target target, Outcome outcome) {
+        target.unreachable = outcome == Outcome.CONNECT_ERROR;
         target.strikes = Math.min(target.strikes + 1, MOST_DOUBLINGS);
         target.trialAnswers = 0;
         if (!target.onTrial) {
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -385,6 +385,30 @@
         assertTrue(!f.host.last().server().equals(left.server()), "not trusted any more");
     }
 
+    /** Guards against a lost zone that is called on since another server fails too (zone+vast). */
+    @Test
+    void serversThatCannotBeReachedAreLeftThoughAnotherErrs() {
+        Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(4));
+        int before = 0;
+        for (int i = 0; i < 100; i++) {
+            f.now += 20;
+            f.request(Fixture.REPEATABLE);
+            before = i == 50 ? f.host.sent.size() : before;
+            int tries;
+            do {
+                tries = f.host.sent.size();
+                Recorder.Sent sent = f.host.last();
+                f.finish(sent, switch (sent.server()) {
+                    case "s0", "s1" -> Outcome.CONNECT_ERROR;
+                    case "s2" -> Outcome.FAILED;
+                    default -> Outcome.OK;
+                }, 10);
+            } while (f.host.sent.size() > tries);
+        }
+        List<String> late = f.host.sent.stream().skip(before).map(Recorder.Sent::server).toList();
+        assertTrue(Collections.frequency(late, "s3") * 4 > late.size() * 3, "calls go to " + late);
+    }
+
     // ---- crowding ----
 
     /** Guards against the first tier's jam (incident i5f5502): the ceiling alone bounds nothing. */
