Let cold servers take calls by their warmth, not one a sidecar for all their cold time

The bound over all sidecars together is now that of the limit, times the warmth; in hand at the coldest it is 3.6 at the first tier, where it can work on 2.8, far from 4 times too many.

Test: aColdServerTakesCallsThatWaitForLowerTiersByItsWarmth.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -568,8 +568,16 @@
      */
     private boolean gentle(double now, Slot slot) {
         double warmth = warmth(now, slot.target);
-        return warmth >= 1 || formula(slot) < warmth
-            * Math.max(FIRST_CALLS, settings.balancers() * relativeWeight(slot.target) / Math.max(1, ready));
+        return warmth >= 1 || formula(slot) < warmth * Math.max(firstCalls(),
+            settings.balancers() * relativeWeight(slot.target) / Math.max(1, ready));
+    }
+
+    /**
+     * Calls in hand at a server, over all balancers, when it has {@link #FIRST_CALLS} at work: a call is at
+     * work there for a part of its time only, the rest it waits for lower tiers.
+     */
+    private double firstCalls() {
+        return FIRST_CALLS * (settings.tiers() - settings.tier());
     }
 
     /**
@@ -909,13 +917,16 @@
             sparesOf(target).remove(target.spare);
             target.spare = null;
         }
-        int most = target.onTrial || warmth(now, target) < 1 ? 1 : SLOTS_PER_SERVER;
+        int most = target.onTrial ? 1 : SLOTS_PER_SERVER;
         if (target.listed.state() != State.READY || now < target.pausedUntil
                 || Long.bitCount(target.held) >= most || target.onTrial && target.inFlight > 0) {
             return;
         }
         Slot slot = new Slot(target, Long.numberOfTrailingZeros(~target.held));
         slot.rank = rank(slot);
+        if (!gentle(now, slot)) {
+            return;
+        }
         target.spare = slot;
         sparesOf(target).add(slot);
     }
@@ -1047,6 +1058,7 @@
                 cold.remove(i);
             }
             reprice(now, target, false);
+            offer(now, target);
         }
         double size = Math.min(CEILING, Math.max(FLOOR, Math.ceil(peak * HEADROOM)));
         peak = Math.max(inFlight, peak * PEAK_DECAY);
@@ -1138,9 +1150,7 @@
             }
         }
         if (limit == 0) {
-            // A call is at work at its server for a part of its time only: the rest it waits for lower tiers.
-            double first = FIRST_CALLS * (settings.tiers() - settings.tier());
-            limit = Math.min(CEILING, Math.max(1, first * ready / settings.balancers()));
+            limit = Math.min(CEILING, Math.max(1, firstCalls() * ready / settings.balancers()));
             quickUntil = limit;
         }
         meanWeight = ready == 0 || weights <= 0 ? 1 : weights / ready;
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -775,6 +775,28 @@
         assertTrue(users > 0 && users <= 20, "calls at once " + users);
     }
 
+    /** Guards against warm servers that get all calls while cold ones idle at one each (zone+vast). */
+    @Test
+    void aColdServerTakesCallsThatWaitForLowerTiersByItsWarmth() {
+        int[] atOnce = new int[3];
+        for (int age = 0; age < 3; age++) {
+            Settings one = Fixture.settings(2, 0, 0, true);
+            Fixture f = new Fixture(new Settings(one.balancers(), one.ownNumber(), one.ownZone(), one.tier(),
+                3, one.asksForList(), one.weighted(), one.overShareWorth(), one.crossZonePrice(),
+                one.classes(), one.tenants(), one.limits(), one.rules()));
+            f.list(List.of(Fixture.server("cold", 0, f.now - 100 - age * 4000, State.READY),
+                Fixture.server("warm")));
+            for (int i = 0; i < 12; i++) {
+                f.request(Fixture.REPEATABLE);
+            }
+            atOnce[age] = (int) f.host.sent.stream().filter(s -> s.server().equals("cold")).count();
+        }
+        // Half of four at work over three tiers is six a balancer: three tenths of it, and more as it warms.
+        assertEquals(2, atOnce[0]);
+        assertTrue(atOnce[1] > atOnce[0] && atOnce[1] < 6, "half warm: " + atOnce[1]);
+        assertEquals(6, atOnce[2], "warm: its even part");
+    }
+
     // ---- lines for the operators ----
 
     @Test
