Judge a cut of the limit only by calls sent after it, not again by those before

At fault: Decide.judgeCrowding cut by 0.85 at each typical answer time while the pressure was high. The pressure remembers 16 answers, and calls in hand at a cut end later, with the times of before it: where a sidecar gets 25 answers a second, each crowded moment was answered by four to eight cuts. Now an attempt sent before the last cut is not judged, and the pressure starts anew from half of what cuts.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -298,7 +298,8 @@
     private double limit;
     /** What outcomes took beyond the base time, as a part of what the aim leaves, on recent average. */
     private double pressure;
-    private double nextCut;
+    /** When the limit was last cut: only calls sent after that tell what the cut has done. */
+    private double lastCut = Double.NEGATIVE_INFINITY;
     private double quickUntil;
     /** What the next line to the operators tells of. */
     private double nextReport;
@@ -424,7 +425,8 @@
     }
 
     /** Moves the limit by an outcome: down while answers take too much of the aim, else slowly up. */
-    private void judgeCrowding(double now, Call call, Target target, Finished finished) {
+    private void judgeCrowding(double now, Call call, Attempt attempt, Finished finished) {
+        Target target = attempt.slot().target;
         double base = learned[call.request.requestClass()].baseMs();
         if (finished.outcome() == Outcome.OK) {
             target.answered(now);
@@ -437,18 +439,21 @@
             case QUEUE_FULL -> 1;
             default -> pressure;
         };
-        // A balancer with few calls at once has few answers a second: each must then tell more.
-        pressure += Math.max(PRESSURE_GAIN, 1 / (2 + 2 * limit)) * (ratio - pressure);
         if (isFar(target)) {
             farCrowding += PRESSURE_GAIN * (ratio - farCrowding);
         } else {
             nearCrowding += PRESSURE_GAIN * (ratio - nearCrowding);
         }
+        if (attempt.sentAt() < lastCut) {
+            // It tells of what was before the cut, which has been answered for by that.
+            return;
+        }
+        // A balancer with few calls at once has few answers a second: each must then tell more.
+        pressure += Math.max(PRESSURE_GAIN, 1 / (2 + 2 * limit)) * (ratio - pressure);
         if (pressure > comfort()) {
-            if (now >= nextCut) {
-                limit = Math.max(LEAST_CALLS * growth(), Math.min(limit, peak + 1) * CUT);
-                nextCut = now + learned[call.request.requestClass()].typicalMs;
-            }
+            limit = Math.max(LEAST_CALLS * growth(), Math.min(limit, peak + 1) * CUT);
+            lastCut = now;
+            pressure = comfort() / 2;
         } else if (finished.outcome() == Outcome.OK && inFlight * 2 >= limit) {
             boolean quick = limit < quickUntil && pressure < comfort() / 2;
             limit = Math.min(CEILING, limit + Math.min(limit, (quick ? 1 : 1 / limit) * growth()));
@@ -689,7 +694,7 @@
         lastEnd = now;
         lastTook = finished.tookMs();
         learn(now, call, attempt, finished);
-        judgeCrowding(now, call, attempt.slot().target, finished);
+        judgeCrowding(now, call, attempt, finished);
         release(now, attempt.slot(), finished.outcome(), isFailure(call, attempt, finished));
         if (finished.concluded()) {
             call.answered = true;
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -557,6 +557,25 @@
         assertTrue(f.host.sent.size() > sent, "and all is well again once they are not");
     }
 
+    /** Guards against a limit cut far too low by answers to calls from before the first cut (zone+vast). */
+    @Test
+    void callsSentBeforeACutDoNotCutAgain() {
+        Fixture f = Fixture.of(4, 0, 0).list(Fixture.servers(20));
+        for (int i = 0; i < 20; i++) {
+            f.request(Fixture.REPEATABLE);
+        }
+        for (Recorder.Sent sent : List.copyOf(f.host.sent)) {
+            f.now += 300;
+            f.finish(sent, Outcome.OK, 900);
+        }
+        int before = f.host.sent.size();
+        for (int i = 0; i < 20; i++) {
+            f.request(Fixture.REPEATABLE);
+        }
+        int taken = f.host.sent.size() - before;
+        assertTrue(taken >= 16 && taken < 20, taken + " of 20: one cut for all the calls from before");
+    }
+
     /** Guards against many balancers that grow at once: together they add one call a server and round. */
     @Test
     void theLimitGrowsByThisBalancersPartOnly() {
