Keep the first tier's limit in proportion to the servers that can be used

At fault: Decide.admits held to a limit learned with all servers, whatever part of them was on trial, and Decide.onServers left it as it was when the list changed. Where crowded servers slow down, answers tell too late.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -301,6 +301,8 @@
     /** When the limit was last cut: only calls sent after that tell what the cut has done. */
     private double lastCut = Double.NEGATIVE_INFINITY;
     private double quickUntil;
+    /** The part of the listed servers' weight, for which the limit is, that can be used now. */
+    private double usable = 1;
     /** What the next line to the operators tells of. */
     private double nextReport;
     private int turnedAway;
@@ -386,7 +388,7 @@
         if (settings.tier() > 0) {
             return inFlight < CEILING;
         }
-        double most = limit * part(call);
+        double most = limit * usable * part(call);
         if (call.withinShare) {
             return most >= 1 ? inFlight < most : inFlight == 0 && now >= pacedUntil(most);
         }
@@ -451,12 +453,13 @@
         // A balancer with few calls at once has few answers a second: each must then tell more.
         pressure += Math.max(PRESSURE_GAIN, 1 / (2 + 2 * limit)) * (ratio - pressure);
         if (pressure > comfort()) {
-            limit = Math.max(LEAST_CALLS * growth(), Math.min(limit, peak + 1) * CUT);
+            limit = Math.max(LEAST_CALLS * growth(), Math.min(limit, (peak + 1) / usable) * CUT);
             lastCut = now;
             pressure = comfort() / 2;
-        } else if (finished.outcome() == Outcome.OK && inFlight * 2 >= limit) {
+        } else if (finished.outcome() == Outcome.OK && inFlight * 2 >= limit * usable) {
             boolean quick = limit < quickUntil && pressure < comfort() / 2;
-            limit = Math.min(CEILING, limit + Math.min(limit, (quick ? 1 : 1 / limit) * growth()));
+            double step = (quick ? 1 : 1 / (limit * usable)) * growth() / usable;
+            limit = Math.min(CEILING, limit + Math.min(limit, step));
         }
     }
 
@@ -1028,6 +1031,18 @@
             : locality * SPILL * (usual + 1) * settings.balancers() / readyInZone;
     }
 
+    /**
+     * Learns what part of the listed servers can be used. Those left over must not get the calls of all until
+     * answers show that they are crowded: where servers slow down when crowded, that is too late.
+     */
+    private void learnUsable() {
+        double inUse = 0;
+        for (Target target : known) {
+            inUse += target.onTrial ? 0 : relativeWeight(target);
+        }
+        usable = ready == 0 ? 1 : Math.max(1, inUse) / ready;
+    }
+
     private double refillPause() {
         return settings.limits().connectTimeoutMs() / 2;
     }
@@ -1050,6 +1065,7 @@
         }
         nextRefill = now + refillPause();
         learnUsual(now);
+        learnUsable();
         connectFailing *= CONNECT_FADE;
         report(now);
         for (int i = paused.size() - 1; i >= 0; i--) {
@@ -1142,6 +1158,7 @@
         for (Contract.Server entry : entries) {
             update(now, entry);
         }
+        double before = meanWeight * ready;
         double weights = 0;
         ready = 0;
         readyInZone = 0;
@@ -1157,6 +1174,10 @@
         if (limit == 0) {
             limit = Math.min(CEILING, Math.max(1, firstCalls() * ready / settings.balancers()));
             quickUntil = limit;
+        } else if (before > 0 && weights > 0) {
+            // The limit is for what the list names: it goes down and up with that.
+            limit = Math.min(CEILING, Math.max(LEAST_CALLS * growth(), limit * weights / before));
+            quickUntil *= weights / before;
         }
         meanWeight = ready == 0 || weights <= 0 ? 1 : weights / ready;
         known.sort(Comparator.comparingLong(this::ringOrder).thenComparing(t -> t.id));
