Put a server that lags and times out aside, though the learned tail has passed the time

Ruled out: the tiers below (their calls took 40 to 160 ms); the lost server (7 failed connects in 7 s); trials (0 to 1 of 4 on trial, which is the fault: a hung server was on none).

At fault: Decide.isFailure asks of a time-out that it took as long as the class's tail, which learn() raises by each time-out: once 3 in 100 calls time out, the tail is beyond the time that any call has, and no time-out counts. For a server twice as slow as usual the time itself is now the measure; where all are slow, none lags.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -109,6 +109,9 @@
     private static final double CASCADE = 2;
     /** Where a late answer is worth nothing, a call ends at this part of its aim: later costs more. */
     private static final double USEFUL = 0.99;
+    /** A server's slowness from which it lags behind others, and a long time-out's part of a call's time. */
+    private static final double LAGGING = 2;
+    private static final double LONG_TIME_OUT = 0.9;
     /** Any large odd number: its powers put the servers of each ring into another order. */
     private static final long RING_MIX = 0x9E3779B1L;
     /** The operators get a line on trouble at most once in this time. */
@@ -759,12 +762,16 @@
     /**
      * Whether an outcome speaks against the server: a time-out does only if it was a long one, and an error
      * only if it came early. Late ones are of calls behind it that ran out of the time they were given.
+     * Where time-outs are many, the learned tail passes the time that calls have: a server that lags behind
+     * others is then judged by that time.
      */
     private boolean isFailure(Call call, Attempt attempt, Finished finished) {
         return switch (finished.outcome()) {
             case CONNECT_ERROR, RESET -> true;
             case FAILED -> finished.tookMs() < attempt.timeoutMs() * LATE_ERROR;
-            case TIMED_OUT -> finished.tookMs() >= learned[call.request.requestClass()].tailMs;
+            case TIMED_OUT -> finished.tookMs() >= learned[call.request.requestClass()].tailMs
+                || attempt.slot().target.slowness > LAGGING
+                    && finished.tookMs() >= call.kind.aimMs() * USEFUL * LONG_TIME_OUT;
             default -> false;
         };
     }
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -409,6 +409,29 @@
         assertTrue(Collections.frequency(late, "s3") * 4 > late.size() * 3, "calls go to " + late);
     }
 
+    /** Guards against a hung server whose own time-outs raise the tail until none counts (zone+vast 32). */
+    @Test
+    void aServerThatLagsAndTimesOutIsPutAside() {
+        Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(4));
+        int calls = 0;
+        int late = 0;
+        int done = 0;
+        for (int round = 0; round < 60; round++) {
+            for (int i = 0; i < 32; i++) {
+                f.request(Fixture.REPEATABLE);
+            }
+            while (done < f.host.sent.size()) {
+                Recorder.Sent sent = f.host.sent.get(done++);
+                boolean slow = sent.server().equals("s2");
+                late += slow && round >= 30 ? 1 : 0;
+                boolean hangs = slow && calls++ % 2 == 0;
+                f.now += 30;
+                f.finish(sent, hangs ? Outcome.TIMED_OUT : Outcome.OK, hangs ? 990 : slow ? 500 : 300);
+            }
+        }
+        assertTrue(late <= 30, late + " of 960 calls went to the server that hangs");
+    }
+
     // ---- crowding ----
 
     /** Guards against the first tier's jam (incident i5f5502): the ceiling alone bounds nothing. */
