Keep the limit in proportion to the last list that named a server, not to an empty one

Found by reading, as a sibling of the limit that follows the list: where a list names no server for a while, the limit stayed at the part of the few listed before, and a first list without servers left it at 1.

At fault: Decide.onServers compared with the list just before. It now keeps the weight that the limit is for.

Test: whereServersDropOutThoseLeftGetTheirPartOfTheCalls, which failed with an empty list between.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -304,7 +304,8 @@
     /** When the limit was last cut: only calls sent after that tell what the cut has done. */
     private double lastCut = Double.NEGATIVE_INFINITY;
     private double quickUntil;
-    /** The part of the listed servers' weight, for which the limit is, that can be used now. */
+    /** The weight of the listed servers that the limit is for, and the part of them that can be used now. */
+    private double limitFor;
     private double usable = 1;
     /** What the next line to the operators tells of. */
     private double nextReport;
@@ -1165,7 +1166,6 @@
         for (Contract.Server entry : entries) {
             update(now, entry);
         }
-        double before = meanWeight * ready;
         double weights = 0;
         ready = 0;
         readyInZone = 0;
@@ -1178,13 +1178,16 @@
                 weights += target.listed.weight();
             }
         }
-        if (limit == 0) {
+        double size = weights > 0 ? weights : ready;
+        if (limitFor == 0) {
             limit = Math.min(CEILING, Math.max(1, firstCalls() * ready / settings.balancers()));
             quickUntil = limit;
-        } else if (before > 0 && weights > 0) {
+            limitFor = size;
+        } else if (size > 0) {
             // The limit is for what the list names: it goes down and up with that.
-            limit = Math.min(CEILING, Math.max(LEAST_CALLS * growth(), limit * weights / before));
-            quickUntil *= weights / before;
+            limit = Math.min(CEILING, Math.max(LEAST_CALLS * growth(), limit * size / limitFor));
+            quickUntil *= size / limitFor;
+            limitFor = size;
         }
         meanWeight = ready == 0 || weights <= 0 ? 1 : weights / ready;
         known.sort(Comparator.comparingLong(this::ringOrder).thenComparing(t -> t.id));
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -621,6 +621,8 @@
             int taken = f.host.sent.size() - before;
             assertTrue(taken >= 4 && taken <= 5, taken + ", but four servers take eight, and two are left");
         }
+        // A list that names none, if only for a while, leaves nothing to be in proportion to.
+        listed.list(List.of());
         listed.list(Fixture.servers(4));
         listed.now += 70;
         int before = listed.host.sent.size();
