Let calls leave a silent server once new connections to it fail

Ruled out: the attempts' own time-out, which leaves room for a second try only where the tail is far below the aim; a shorter one for all would cut off 3 to 5 in 100 sound answers at every tier.

At fault: Decide.strike put an unreachable server aside but left the calls that were out there. Now those that may be repeated, have waited as long as is usual and have seen no answer of that server since are called off, and go elsewhere within the same bounds as any retry.

Test: callsOnASilentServerThatCannotBeReachedGoElsewhere.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -263,7 +263,7 @@
     private final Actions host;
     private final SplittableRandom random;
     private final Map<String, Target> targets = new LinkedHashMap<>();
-    private final Map<String, Call> calls = new HashMap<>();
+    private final Map<String, Call> calls = new LinkedHashMap<>();
     private final List<Target> known = new ArrayList<>();
     private final List<Slot> pool = new ArrayList<>();
     /** The slots next outside the pool, one a server at most, by rank: the own zone's and all others. */
@@ -875,11 +875,22 @@
             ejections++;
         }
         pause(now, target, settings.limits().connectTimeoutMs() * (1 << target.strikes));
-        for (int i = pool.size() - 1; i >= 0; i--) {
-            Slot slot = pool.get(i);
-            if (slot.target == target && target.strikes > 1) {
-                drop(slot);
-            }
+        if (target.strikes > 1) {
+            pool.stream().filter(slot -> slot.target == target).toList().forEach(this::drop);
+        }
+        if (target.unreachable && settings.limits().cancel()) {
+            calls.values().forEach(call -> leaveSilent(now, call, target));
+        }
+    }
+
+    /** Where connects fail and nothing was answered since, a call that has waited goes elsewhere. */
+    private void leaveSilent(double now, Call call, Target target) {
+        int last = call.attempts.size() - 1;
+        Attempt attempt = call.out == 0 || call.answered ? null : call.attempts.get(last);
+        if (attempt != null && attempt.slot().target == target && target.lastAnswer < attempt.sentAt()
+                && call.kind.effect() != Effect.ONCE
+                && now - attempt.sentAt() >= learned[call.request.requestClass()].typicalMs) {
+            host.cancel(call.request.id(), last);
         }
     }
 
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -432,6 +432,27 @@
         assertTrue(late <= 30, late + " of 960 calls went to the server that hangs");
     }
 
+    /** Guards against calls that wait on a silent server until their time is over (zone+vast). */
+    @Test
+    void callsOnASilentServerThatCannotBeReachedGoElsewhere() {
+        Fixture f = Fixture.of(1, 0, 1).list(Fixture.servers(2));
+        String read = f.request(Fixture.REPEATABLE);
+        String silent = f.host.last().server();
+        f.request(Fixture.REPEATABLE);
+        f.finish(f.host.last(), Outcome.OK, 10);
+        f.request(Fixture.ONCE);
+        f.request(Fixture.REPEATABLE);
+        Recorder.Sent again = f.host.sent.stream().skip(1).filter(s -> s.server().equals(silent))
+            .findFirst().orElseThrow();
+        f.now += 400;
+        connectFails(f, again);
+        assertEquals(List.of(read + "#0"), f.host.cancelled, "no call that must not run twice, none later");
+        int before = f.host.sent.size();
+        f.balancer.onFinished(f.now, new Finished(read, 0, silent, Outcome.CANCELED, 400, false, Load.NONE));
+        assertEquals(before + 1, f.host.sent.size());
+        assertNotEquals(silent, f.host.last().server());
+    }
+
     // ---- crowding ----
 
     /** Guards against the first tier's jam (incident i5f5502): the ceiling alone bounds nothing. */
