--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -7,8 +7,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 import mapleroute.Contract.Actions;
 import mapleroute.Contract.Effect;
 import mapleroute.Contract.Events;
@@ -533,12 +535,7 @@
     }
 
     private Slot firstUsable(double now, Call call, TreeSet<Slot> spares, boolean picky) {
-        for (Slot slot : spares) {
-            if (mayUse(now, call, slot, picky)) {
-                return slot;
-            }
-        }
-        return null;
+        return spares.stream().filter(slot -> mayUse(now, call, slot, picky)).findFirst().orElse(null);
     }
 
     private Slot firstSpare() {
@@ -603,25 +600,13 @@
 
     private boolean mayUse(double now, Call call, Slot slot, boolean picky) {
         Target target = slot.target;
-        if (!gentle(now, slot) || call.attempts.isEmpty() && crowds(slot)) {
-            return false;
-        }
-        if (call.mayHaveRun != null && !sameGroup(call, target)) {
+        if (!gentle(now, slot) || call.attempts.isEmpty() && crowds(slot)
+                || call.mayHaveRun != null && !sameGroup(call, target)) {
             return false;
         }
-        if (!picky) {
-            return true;
-        }
         // A call that cannot be tried again must not be the one to find out whether a server is well.
-        if (target.onTrial && call.kind.effect() == Effect.ONCE && anyRepeatable) {
-            return false;
-        }
-        for (Attempt attempt : call.attempts) {
-            if (attempt.slot().target == target) {
-                return false;
-            }
-        }
-        return true;
+        boolean risky = target.onTrial && call.kind.effect() == Effect.ONCE && anyRepeatable;
+        return !picky || !risky && call.attempts.stream().noneMatch(a -> a.slot().target == target);
     }
 
     /** Only the group that remembers a keyed call's first run drops its repeat. */
@@ -662,18 +647,14 @@
             || call.kind.effect() == Effect.REPEATABLE
             || call.kind.effect() == Effect.BY_KEY && call.kind.group() == Group.ALL;
         if (harmless) {
-            host.refuse(call.request.id(), coolDown());
+            // The cool-down is told also where few clients are said to heed it: it costs nothing.
+            host.refuse(call.request.id(), settings.limits().maxCoolDownMs() / 4);
         } else {
             host.fail(call.request.id());
         }
         forget(call);
     }
 
-    /** Told with every refusal, also where few clients are said to heed it: it costs nothing. */
-    private double coolDown() {
-        return settings.limits().maxCoolDownMs() / 4;
-    }
-
     private void forget(Call call) {
         if (call.answered && call.out == 0) {
             calls.remove(call.request.id());
@@ -743,14 +724,10 @@
                 || left < learned[call.request.requestClass()].typicalMs / 2) {
             return false;
         }
-        if (call.mayHaveRun != null) {
-            if (call.kind.effect() == Effect.ONCE) {
-                return false;
-            }
-            if (call.kind.effect() == Effect.BY_KEY
-                    && now - call.mayHaveRun.sentAt() >= call.kind.windowMs() * 0.9) {
-                return false;
-            }
+        if (call.mayHaveRun != null && (call.kind.effect() == Effect.ONCE
+                || call.kind.effect() == Effect.BY_KEY
+                && now - call.mayHaveRun.sentAt() >= call.kind.windowMs() * 0.9)) {
+            return false;
         }
         // Retries feed on themselves when all is slow, and multiply from tier to tier.
         if (retriesLeft < 1) {
@@ -845,13 +822,8 @@
         if (outcome != Outcome.CONNECT_ERROR || slot.target.connectFailed) {
             return false;
         }
-        for (Slot other : pool) {
-            if (other != slot && other.target == slot.target && other.connected) {
-                slot.target.connectFailed = true;
-                return true;
-            }
-        }
-        return false;
+        slot.target.connectFailed = slotsOf(slot.target).stream().anyMatch(s -> s != slot && s.connected);
+        return slot.target.connectFailed;
     }
 
     /**
@@ -876,7 +848,7 @@
         }
         pause(now, target, settings.limits().connectTimeoutMs() * (1 << target.strikes));
         if (target.strikes > 1) {
-            pool.stream().filter(slot -> slot.target == target).toList().forEach(this::drop);
+            slotsOf(target).forEach(this::drop);
         }
         if (target.unreachable && settings.limits().cancel()) {
             calls.values().forEach(call -> leaveSilent(now, call, target));
@@ -925,6 +897,10 @@
         offer(now, target);
     }
 
+    private List<Slot> slotsOf(Target target) {
+        return pool.stream().filter(slot -> slot.target == target).toList();
+    }
+
     /** Takes a slot out of the pool; the last one's idle connections are closed with it. */
     private void drop(Slot slot) {
         if (slot.discarded) {
@@ -966,11 +942,7 @@
         }
         target.cost = cost;
         if (target.held != 0) {
-            for (Slot slot : pool) {
-                if (slot.target == target) {
-                    slot.rank = rank(slot);
-                }
-            }
+            slotsOf(target).forEach(slot -> slot.rank = rank(slot));
         }
         offer(now, target);
     }
@@ -1141,13 +1113,7 @@
     }
 
     private Slot worstFree() {
-        Slot worst = null;
-        for (Slot slot : pool) {
-            if (!slot.busy && (worst == null || order(slot, worst) > 0)) {
-                worst = slot;
-            }
-        }
-        return worst;
+        return pool.stream().filter(slot -> !slot.busy).max(this::order).orElse(null);
     }
 
     // ---- the list ----
@@ -1162,12 +1128,9 @@
         }
         askFailures = 0;
         if (kind != ListKind.DELTA) {
-            Map<String, Contract.Server> named = new HashMap<>();
-            for (Contract.Server entry : entries) {
-                named.put(entry.id(), entry);
-            }
+            Set<String> named = entries.stream().map(Contract.Server::id).collect(Collectors.toSet());
             for (Target target : List.copyOf(targets.values())) {
-                if (!named.containsKey(target.id)) {
+                if (!named.contains(target.id)) {
                     update(now, new Contract.Server(target.id, target.listed.zone(), target.listed.kind(),
                         target.listed.cell(), target.listed.startedMs(), State.GONE,
                         target.listed.weight()));
@@ -1229,11 +1192,7 @@
             cold.add(target);
         }
         if (entry.state() != State.READY) {
-            for (int i = pool.size() - 1; i >= 0; i--) {
-                if (pool.get(i).target == target) {
-                    drop(pool.get(i));
-                }
-            }
+            slotsOf(target).forEach(this::drop);
         }
         reprice(now, target, true);
         forgetGone(target);
@@ -1252,15 +1211,8 @@
     }
 
     private void keepOneSlot(Target target) {
-        boolean kept = false;
-        for (int i = pool.size() - 1; i >= 0; i--) {
-            if (pool.get(i).target == target) {
-                if (kept) {
-                    drop(pool.get(i));
-                }
-                kept = true;
-            }
-        }
+        List<Slot> slots = slotsOf(target);
+        slots.subList(0, Math.max(0, slots.size() - 1)).forEach(this::drop);
     }
 
     private void forgetGone(Target target) {
