Open a door for operators that answers status in one line

Design: one more Netty server on the same event loop, bound only if the configuration names it; a line decoder with a bound, one line back, close. The door decides nothing. Road not taken: a path on the clients' listener, which is out of reach when clients fill it.

--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -121,6 +121,12 @@
         warm = true;
     }
 
+    /** Null while this sidecar serves, else why it does not. */
+    String unready() {
+        return endsAt < Double.POSITIVE_INFINITY ? "draining"
+            : !warm ? "starting" : exchange.knowsEndpoints() ? null : "no endpoint is known";
+    }
+
     /** It is to end: it is not ready any more, and no request gets longer than until then. */
     void drain(double inMs) {
         endsAt = clock.now() + inMs;
@@ -233,10 +239,9 @@
         }
 
         private void ready(Reply reply) {
-            boolean draining = endsAt < Double.POSITIVE_INFINITY;
-            boolean ready = warm && !draining && exchange.knowsEndpoints();
-            reply.plain(ready ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                ready ? "ready" : draining ? "draining" : warm ? "no endpoint is known" : "starting", true);
+            String unready = unready();
+            reply.plain(unready == null ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                unready == null ? "ready" : unready, true);
         }
 
         private void api(Reply reply, FullHttpRequest request) {
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -41,6 +42,7 @@
     private double lastCallMs;
     private DiscoveryClient discovery;
     private Frontend frontend;
+    private ManagementServer management;
     private InetSocketAddress address;
     private Exchange exchange;
 
@@ -55,11 +57,9 @@
         Sidecar sidecar = new Sidecar();
         try {
             sidecar.loop.submit(() -> sidecar.build(config, log)).syncUninterruptibly();
-            var bound = sidecar.frontend.listen(config.listen()).await();
-            if (!bound.isSuccess()) {
-                sidecar.stop();
-                throw new IOException("cannot listen on " + config.listen() + ": "
-                    + bound.cause().getMessage());
+            var bound = sidecar.bound(sidecar.frontend.listen(config.listen()), config.listen());
+            if (config.management() != null) {
+                sidecar.bound(sidecar.management.listen(config.management()), config.management());
             }
             sidecar.warm(config, log);
             sidecar.address = (InetSocketAddress) bound.channel().localAddress();
@@ -69,6 +69,15 @@
         }
     }
 
+    private ChannelFuture bound(ChannelFuture binding, InetSocketAddress address)
+            throws IOException, InterruptedException {
+        if (!binding.await().isSuccess()) {
+            stop();
+            throw new IOException("cannot listen on " + address + ": " + binding.cause().getMessage());
+        }
+        return binding;
+    }
+
     private void build(SidecarConfig config, PrintStream log) {
         Clock clock = new Clock();
         complaints = new Complaints(clock, log);
@@ -89,6 +98,7 @@
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
         discovery.listen(exchange, config.known().version());
         frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
+        management = new ManagementServer(loop, complaints, frontend::unready);
     }
 
     private void warm(SidecarConfig config, PrintStream log) {
@@ -142,6 +152,11 @@
         return address;
     }
 
+    /** Where operators connect. */
+    InetSocketAddress managementAddress() {
+        return management.address();
+    }
+
     /** Ends everything at once. */
     void stop() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/src/main/java/mapleroute/sidecar/SidecarConfig.java
+++ b/src/main/java/mapleroute/sidecar/SidecarConfig.java
@@ -17,11 +17,13 @@
 /**
  * What a sidecar is told at its start, read from the file that GW_CONFIG names.
  *
+ * @param management where operators connect, or null where they have no door
  * @param sockets the descriptors that the process may hold
  * @param idleCloseMs after how long at most an endpoint closes an idle connection
  */
-public record SidecarConfig(InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        double idleCloseMs, ServerList.Names names, ServerList known, Settings settings) {
+public record SidecarConfig(InetSocketAddress listen, InetSocketAddress management,
+        InetSocketAddress discovery, long seed, int sockets, double idleCloseMs,
+        ServerList.Names names, ServerList known, Settings settings) {
 
     /** Reads the file; anything missing or bad is an exception whose message names field and value. */
     public static SidecarConfig read(Path file) throws IOException {
@@ -47,6 +49,8 @@
         ServerList.Names names = new ServerList.Names(words("settings.azs", settings.get("azs")),
             words("settings.models", settings.get("models")));
         return new SidecarConfig(ServerList.address("listen", config.get("listen")),
+            config.get("management") == null ? null
+                : ServerList.address("management", config.get("management")),
             ServerList.address("discovery", config.get("discovery")), seed(config.get("seed")),
             (int) positive("limits.sockets", object("limits", config.get("limits")).get("sockets")),
             positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -51,7 +51,8 @@
             lines.add(line(i, endpoints.get(i).address(), "in_service", 0));
         }
         return """
-            {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+            {"name":"n0","listen":"127.0.0.1:0","management":"127.0.0.1:0",
+            "discovery":"%s","seed":"8c1f30d27a5be964",
             "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
             "settings":{"azs":["a"],"models":["m"],"replicas-of-me":1,"slot-no":0,"tier":0,"zone":0,
             "membership-mode":"on_request","classes":[
@@ -96,6 +97,13 @@
         }
     }
 
+    /** One call of an operator's and the whole answer to it. */
+    String call(String line) throws IOException {
+        try (Wire wire = Wire.to(sidecar.managementAddress())) {
+            return wire.send(line).rest();
+        }
+    }
+
     int attempts() {
         return endpoints.stream().mapToInt(endpoint -> endpoint.requests.size()).sum();
     }
--- a/src/test/java/mapleroute/sidecar/Wire.java
+++ b/src/test/java/mapleroute/sidecar/Wire.java
@@ -67,6 +67,11 @@
         return line.toString(StandardCharsets.ISO_8859_1);
     }
 
+    /** All that still comes until the other side closes. */
+    String rest() throws IOException {
+        return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+
     /** Waits until the other side has closed or reset the connection. */
     void awaitEnd() throws IOException {
         try {
