Send clients away at standby and take them back at active, with the drain of SIGTERM

Design: one drain, begun by either: not ready at once, answers that are the last on their connections after a while, then idle connections closed; SIGTERM adds the listener's end and a time for requests. Road not taken: closing all connections at the call, which crosses requests that are on their way. Also: a last answer no longer cuts off requests that were sent ahead on its connection.

--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -77,7 +77,11 @@
     private boolean warm;
     /** When the last request must be answered, once it is to end. */
     private double endsAt = Double.POSITIVE_INFINITY;
+    private boolean draining;
+    /** Each answer is the last on its connection. */
     private boolean closing;
+    /** What a drain has still to do. */
+    private List<Future<?>> steps = List.of();
 
     Frontend(EventLoop loop, Clock clock, Complaints complaints, Exchange exchange, Settings settings,
             int most) {
@@ -123,23 +127,53 @@
 
     /** Null while this sidecar serves, else why it does not. */
     String unready() {
-        return endsAt < Double.POSITIVE_INFINITY ? "draining"
+        return draining ? "draining"
             : !warm ? "starting" : exchange.knowsEndpoints() ? null : "no endpoint is known";
     }
 
-    /** It is to end: it is not ready any more, and no request gets longer than until then. */
-    void drain(double inMs) {
-        endsAt = clock.now() + inMs;
+    /** It is to end: no request gets longer than until then. */
+    void endIn(double ms) {
+        endsAt = clock.now() + ms;
+    }
+
+    /**
+     * Sends clients away: it is not ready any more; after a while each answer is the last on its connection,
+     * and then connections that wait for none are let go.
+     */
+    void drain(long lastAnswersMs, long letGoMs) {
+        steps.forEach(step -> step.cancel(false));
+        draining = true;
+        steps = List.of(loop.schedule(() -> closing = true, lastAnswersMs, TimeUnit.MILLISECONDS),
+            loop.schedule(this::letGoIdle, letGoMs, TimeUnit.MILLISECONDS));
+    }
+
+    /** Ends a drain: clients may come and stay. */
+    void resume() {
+        steps.forEach(step -> step.cancel(false));
+        draining = false;
+        closing = false;
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    boolean isEnding() {
+        return endsAt < Double.POSITIVE_INFINITY;
     }
 
     void closeListener() {
         listener.close();
     }
 
-    /** From now on each answer is the last on its connection; those that wait for none are let go. */
     void close() {
-        closing = true;
         closeListener();
+        letGoIdle();
+    }
+
+    /** From now on each answer is the last on its connection; those that wait for none are closed. */
+    private void letGoIdle() {
+        closing = true;
         for (Connection connection : List.copyOf(idle)) {
             connection.channel.close();
         }
@@ -298,7 +332,8 @@
         private void flush() {
             while (!replies.isEmpty() && replies.peek().response != null) {
                 Reply reply = replies.poll();
-                boolean last = closing || !reply.keepAlive;
+                // What was sent ahead on the connection is in hand too, and gets its answer first.
+                boolean last = closing && replies.isEmpty() || !reply.keepAlive;
                 if (last) {
                     reply.response.headers().set(HttpHeaderNames.CONNECTION, "close");
                 }
--- a/src/main/java/mapleroute/sidecar/ManagementServer.java
+++ b/src/main/java/mapleroute/sidecar/ManagementServer.java
@@ -38,6 +38,10 @@
     /** Who carries out the calls; each returns null if it is done, else why it is not. */
     interface Operated {
         String status();
+
+        String standby();
+
+        String active();
     }
 
     private final EventLoop loop;
@@ -79,6 +83,8 @@
         String[] words = line.trim().split("\\s+");
         String refused = switch (words.length == 1 ? words[0] : "") {
             case "status" -> operated.status();
+            case "standby" -> operated.standby();
+            case "active" -> operated.active();
             default -> "unknown call";
         };
         return refused == null ? "done" : "error " + refused;
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -25,8 +25,13 @@
      * may use a third of all for requests, which half of the rest must not fall short of.
      */
     private static final int SPARE_SOCKETS = 80;
-    /** New connections still come for a while after SIGTERM: until then the listener stays open. */
+    /** New connections still come for 0.4 s after a drain began at most: until then they are welcome. */
     private static final int LINGER_MS = 600;
+    /**
+     * Operators send clients away: 4 s after that no connection may be idle, or have a request of the last
+     * 2 s. Those that got no answer since the end of the time above have been idle for as long by then.
+     */
+    private static final int LET_GO_MS = 2000;
     /** SIGKILL comes no sooner than this after the longest deadline, which counts as 3 s at most. */
     private static final double KILL_AFTER_MS = 700;
     private static final double LONGEST_COUNTED_MS = 3000;
@@ -98,7 +103,7 @@
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
         discovery.listen(exchange, config.known().version());
         frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
-        management = new ManagementServer(loop, complaints, frontend::unready);
+        management = new ManagementServer(loop, complaints, new Operators());
     }
 
     private void warm(SidecarConfig config, PrintStream log) {
@@ -119,10 +124,10 @@
         CountDownLatch empty = new CountDownLatch(1);
         loop.execute(() -> {
             complaints.say("draining, with " + exchange.openRequests() + " requests in hand");
-            frontend.drain(killMs);
+            frontend.endIn(killMs);
+            frontend.drain((long) lastCallMs, (long) lastCallMs);
         });
         loop.schedule(frontend::closeListener, LINGER_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(frontend::close, (long) lastCallMs, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
             if (frontend.isEmpty() && exchange.openRequests() == 0) {
                 empty.countDown();
@@ -147,6 +152,33 @@
         }
     }
 
+    /** What operators may ask for. */
+    private final class Operators implements ManagementServer.Operated {
+
+        @Override
+        public String status() {
+            return frontend.unready();
+        }
+
+        @Override
+        public String standby() {
+            // A repeated call must not put off what the first has begun.
+            if (!frontend.isDraining()) {
+                frontend.drain(LINGER_MS, LET_GO_MS);
+            }
+            return null;
+        }
+
+        @Override
+        public String active() {
+            if (frontend.isEnding()) {
+                return "this process is ending";
+            }
+            frontend.resume();
+            return null;
+        }
+    }
+
     /** Where clients connect. */
     InetSocketAddress address() {
         return address;
--- a/src/test/java/mapleroute/sidecar/ManagementTest.java
+++ b/src/test/java/mapleroute/sidecar/ManagementTest.java
@@ -1,11 +1,13 @@
 package mapleroute.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -88,4 +90,85 @@
             wire.close();
         }
     }
+
+    // ---- sending clients away ----
+
+    private static final String READY = "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    /** Guards against clients that stay: the idle are closed, the busy leave with their next answer. */
+    @Test
+    void standbySendsClientsAwayAndGoesOnServing() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        start(new Fake((wire, request) -> {
+            if (request.headers().get("x-request-id").equals("r0")) {
+                release.await();
+            }
+            Fake.answer(wire, 200, "", "served");
+        }));
+        awaitStatus("done");
+        try (Wire busy = rig.client(); Wire idle = rig.client(); Wire late = rig.client()) {
+            assertEquals(200, late.send(READY).read().status());
+            busy.send(rig.request("order", 8000) + rig.request("order", 8000));
+            Rig.await("both are in hand", () -> rig.attempts() == 2);
+            assertEquals("done\n", rig.call("standby\n"));
+            assertTrue(rig.call("status\n").startsWith("error draining"));
+            assertEquals(503, late.send(READY).read().status());
+            Rig.await("answers become the last ones", () -> {
+                try (Wire fresh = rig.client()) {
+                    Wire.Message answer = fresh.send(rig.request("read", 8000)).read();
+                    return answer.status() == 200 && "close".equals(answer.headers().get("connection"));
+                } catch (IOException e) {
+                    throw new java.io.UncheckedIOException(e);
+                }
+            });
+            assertEquals("done\n", rig.call("standby\n"), "it may be repeated");
+            late.awaitEnd();
+            idle.awaitEnd();
+            release.countDown();
+            assertEquals(200, busy.read().status());
+            Wire.Message last = busy.read();
+            assertEquals(200, last.status());
+            assertEquals("close", last.headers().get("connection"));
+            busy.awaitEnd();
+        }
+    }
+
+    @Test
+    void activeEndsTheDrainAtOnce() throws Exception {
+        start(good());
+        awaitStatus("done");
+        assertEquals("done\n", rig.call("standby\n"));
+        assertEquals("done\n", rig.call("active\n"));
+        assertEquals("done\n", rig.call("status\n"));
+        try (Wire client = rig.client()) {
+            assertEquals(200, client.send(READY).read().status());
+            for (int i = 0; i < 2; i++) {
+                Wire.Message answer = client.send(rig.request("order", 8000)).read();
+                assertEquals(200, answer.status());
+                assertNull(answer.headers().get("connection"));
+            }
+        }
+    }
+
+    /** Guards against a process that is to end and says it serves. */
+    @Test
+    void activeDoesNotUndoAStop() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        start(new Fake((wire, request) -> {
+            release.await();
+            Fake.answer(wire, 200, "", "served");
+        }));
+        awaitStatus("done");
+        try (Wire busy = rig.client().send(rig.request("order", 8000))) {
+            Rig.await("it is in hand", () -> rig.attempts() == 1);
+            Thread drain = new Thread(rig.sidecar::drain);
+            drain.start();
+            awaitStatus("error draining");
+            assertTrue(rig.call("active\n").startsWith("error "));
+            assertTrue(rig.call("status\n").startsWith("error draining"));
+            release.countDown();
+            assertEquals(200, busy.read().status());
+            drain.join();
+        }
+    }
 }
