Keep calls off a nodo in maintenance until the call back, and over an upgrade

Design: a new event to the module, which owns the ban: a server in maintenance counts as draining whatever lists say, and as started at the call back, so its calls grow as a cold one's do. One empty file a nodo in $TMPDIR, read at the start. Road not taken: a filter over the lists in the host, which would decide outside the module, and would lose the ban of a server that no list has yet.

--- a/src/main/java/mapleroute/Contract.java
+++ b/src/main/java/mapleroute/Contract.java
@@ -162,6 +162,9 @@
         /** Discovery has sent a list, or changes to it, or has failed to. */
         void onServers(double now, ListKind kind, List<Server> entries);
 
+        /** Operators take a server out of service, whatever lists say, or let it serve again. */
+        void onMaintenance(double now, String server, boolean out);
+
         /** A client has sent a request; the balancer now owes it one final answer. */
         void onRequest(double now, Request request);
 
--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -125,6 +126,8 @@
      */
     private static final double ASK_AGAIN = 0.05;
     private static final int ASK_DOUBLINGS = 3;
+    /** How many names of servers are kept, to tell those that no list has named: more than days bring. */
+    private static final int NAMES_KEPT = 4096;
     /** Name of the timer for the next request for the list. */
     private static final long ASK_TIMER = 1;
 
@@ -162,7 +165,9 @@
     private static final class Target {
         final String id;
         final long hash;
+        /** Its entry as it counts here, and as discovery told it. */
         Contract.Server listed;
+        Contract.Server told;
         /** Bits of the slots in the pool, and the next slot outside it, if it may have one. */
         long held;
         Slot spare;
@@ -266,6 +271,9 @@
     private final SplittableRandom random;
     private final Map<String, Target> targets = new LinkedHashMap<>();
     private final Map<String, Call> calls = new LinkedHashMap<>();
+    /** Servers in maintenance, until when: without end, or when that ended. */
+    private final Map<String, Double> maintenance = new HashMap<>();
+    private final Set<String> named = new LinkedHashSet<>();
     private final List<Target> known = new ArrayList<>();
     private final List<Slot> pool = new ArrayList<>();
     /** The slots next outside the pool, one a server at most, by rank: the own zone's and all others. */
@@ -1140,6 +1148,11 @@
         for (Contract.Server entry : entries) {
             update(now, entry);
         }
+        relist(now);
+    }
+
+    /** Takes stock of the servers that may be used, once some have changed. */
+    private void relist(double now) {
         double weights = 0;
         ready = 0;
         readyInZone = 0;
@@ -1174,7 +1187,38 @@
         }
     }
 
-    private void update(double now, Contract.Server entry) {
+    @Override
+    public void onMaintenance(double now, String server, boolean out) {
+        tick(now);
+        boolean before = maintenance.getOrDefault(server, 0.0) == Double.POSITIVE_INFINITY;
+        if (out != before) {
+            maintenance.put(server, out ? Double.POSITIVE_INFINITY : now);
+            if (targets.containsKey(server)) {
+                update(now, targets.get(server).told);
+                relist(now);
+            }
+        }
+    }
+
+    /** Whether a list has ever named a server. */
+    public boolean hasNamed(String server) {
+        return named.contains(server);
+    }
+
+    /** An entry as it counts here: a server in maintenance drains, and is cold when it is back from it. */
+    private Contract.Server asUsed(Contract.Server told) {
+        double until = maintenance.getOrDefault(told.id(), 0.0);
+        boolean out = until == Double.POSITIVE_INFINITY;
+        return new Contract.Server(told.id(), told.zone(), told.kind(), told.cell(),
+            out ? told.startedMs() : Math.max(told.startedMs(), until),
+            out && told.state() == State.READY ? State.DRAINING : told.state(), told.weight());
+    }
+
+    private void update(double now, Contract.Server told) {
+        if (named.add(told.id()) && named.size() > NAMES_KEPT) {
+            named.remove(named.iterator().next());
+        }
+        Contract.Server entry = asUsed(told);
         Target target = targets.get(entry.id());
         if (target == null) {
             if (entry.state() == State.GONE) {
@@ -1188,6 +1232,7 @@
             keepOneSlot(target);
         }
         target.listed = entry;
+        target.told = told;
         if (warmth(now, target) < 1 && !cold.contains(target)) {
             cold.add(target);
         }
--- a/src/main/java/mapleroute/Main.java
+++ b/src/main/java/mapleroute/Main.java
@@ -52,6 +52,11 @@
         }
     }
 
+    private static Sidecar.Inherited inherited() {
+        String folder = System.getenv("TMPDIR");
+        return new Sidecar.Inherited(folder == null || folder.isBlank() ? null : Path.of(folder));
+    }
+
     /** Starts a sidecar that runs until SIGTERM; returns the exit status of a start that failed. */
     static int serve(String configFile, PrintStream errors) {
         try {
@@ -60,7 +65,7 @@
                     + configFile);
             }
             Path file = Path.of(configFile);
-            Sidecar sidecar = Sidecar.start(SidecarConfig.read(file), errors);
+            Sidecar sidecar = Sidecar.start(SidecarConfig.read(file), inherited(), errors);
             // Unhandled, SIGHUP ends the program; the platform sends it when the file is another.
             Signal.handle(new Signal("HUP"), signal -> sidecar.reload(file));
             // Halting from the hook, once empty, makes a stop by SIGTERM a clean exit.
--- a/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/src/main/java/mapleroute/sidecar/Exchange.java
@@ -17,7 +17,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import mapleroute.Contract.Actions;
-import mapleroute.Contract.Events;
 import mapleroute.Contract.Finished;
 import mapleroute.Contract.ListKind;
 import mapleroute.Contract.Load;
@@ -118,7 +117,7 @@
     /** Begins a watch on discovery. */
     private final Runnable watch;
     private final Settings settings;
-    private final Events module;
+    private final Decide module;
     private final Map<String, Open> table = new HashMap<>();
     /** Events wait here while the module is at work: it is never called from within its own call. */
     private final Deque<Queued> events = new ArrayDeque<>();
@@ -145,6 +144,16 @@
         return listed;
     }
 
+    /** Whether a list has ever named an endpoint. */
+    boolean hasNamed(String endpoint) {
+        return module.hasNamed(endpoint);
+    }
+
+    /** Takes an endpoint out of service or back; it holds when this returns. */
+    void maintain(String endpoint, boolean out) {
+        raise(null, now -> module.onMaintenance(now, endpoint, out));
+    }
+
     int openRequests() {
         return table.size();
     }
--- /dev/null
+++ b/src/main/java/mapleroute/sidecar/MaintenanceFiles.java
@@ -0,0 +1,53 @@
+package mapleroute.sidecar;
+
+import java.io.IOException;
+import java.net.URLDecoder;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.FileAlreadyExistsException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Which endpoints are in maintenance, in a folder that outlasts the process: an empty file for each, named
+ * after it. A file is there or not, so nobody ever reads half of a change.
+ */
+final class MaintenanceFiles {
+
+    private static final String PREFIX = "maintenance-";
+
+    private final Path folder;
+
+    MaintenanceFiles(Path folder) {
+        this.folder = folder;
+    }
+
+    Set<String> read() throws IOException {
+        Set<String> ids = new TreeSet<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, PREFIX + "*")) {
+            for (Path file : files) {
+                ids.add(URLDecoder.decode(file.getFileName().toString().substring(PREFIX.length()),
+                    StandardCharsets.UTF_8));
+            }
+        }
+        return ids;
+    }
+
+    void set(String id, boolean out) throws IOException {
+        // The ids are discovery's: none may lead out of the folder.
+        Path file = folder.resolve(PREFIX + URLEncoder.encode(id, StandardCharsets.UTF_8));
+        if (out) {
+            try {
+                Files.createFile(file);
+            } catch (FileAlreadyExistsException e) {
+                // Said before, here or by the other process of an upgrade.
+                return;
+            }
+        } else {
+            Files.deleteIfExists(file);
+        }
+    }
+}
--- a/src/main/java/mapleroute/sidecar/ManagementServer.java
+++ b/src/main/java/mapleroute/sidecar/ManagementServer.java
@@ -35,10 +35,14 @@
     /** As for clients: a peer that sends nothing whole must have an error or a close within 3 s. */
     private static final int WHOLE_LINE_MS = 2250;
 
+    private static final String UNKNOWN = "unknown call";
+
     /** Who carries out the calls; each returns null if it is done, else why it is not. */
     interface Operated {
         String status();
 
+        String maintain(String id, boolean out);
+
         String standby();
 
         String active();
@@ -81,12 +85,17 @@
 
     private String answer(String line) {
         String[] words = line.trim().split("\\s+");
-        String refused = switch (words.length == 1 ? words[0] : "") {
-            case "status" -> operated.status();
-            case "standby" -> operated.standby();
-            case "active" -> operated.active();
-            default -> "unknown call";
-        };
+        String refused = words.length > 2 ? UNKNOWN : words.length == 2
+            ? switch (words[0]) {
+                case "maint-on" -> operated.maintain(words[1], true);
+                case "maint-off" -> operated.maintain(words[1], false);
+                default -> UNKNOWN;
+            } : switch (words[0]) {
+                case "status" -> operated.status();
+                case "standby" -> operated.standby();
+                case "active" -> operated.active();
+                default -> UNKNOWN;
+            };
         return refused == null ? "done" : "error " + refused;
     }
 
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -11,6 +11,7 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import mapleroute.Contract.RequestClass;
@@ -18,6 +19,14 @@
 /** One real sidecar: its parts on one event loop, which is the only thread that touches any of them. */
 public final class Sidecar {
 
+    /**
+     * What outlasts a process.
+     *
+     * @param folder a folder that is kept over an upgrade, or null where there is none
+     */
+    public record Inherited(Path folder) {
+    }
+
     /** One small arena: messages are of a few hundred bytes, and memory is tight. */
     static final ByteBufAllocator BUFFERS = new PooledByteBufAllocator(true, 1, 1, 8192, 4, 0, 0, false);
     /**
@@ -48,6 +57,8 @@
     private DiscoveryClient discovery;
     private Frontend frontend;
     private ManagementServer management;
+    /** Null where nothing is kept. */
+    private MaintenanceFiles kept;
     private InetSocketAddress address;
     private Exchange exchange;
 
@@ -58,10 +69,11 @@
     }
 
     /** Starts to listen; what goes wrong is an exception whose message says so plainly. */
-    public static Sidecar start(SidecarConfig config, PrintStream log) throws IOException {
+    public static Sidecar start(SidecarConfig config, Inherited inherited, PrintStream log)
+            throws IOException {
         Sidecar sidecar = new Sidecar();
         try {
-            sidecar.loop.submit(() -> sidecar.build(config, log)).syncUninterruptibly();
+            sidecar.loop.submit(() -> sidecar.build(config, inherited, log)).syncUninterruptibly();
             var bound = sidecar.bound(sidecar.frontend.listen(config.listen()), config.listen());
             if (config.management() != null) {
                 sidecar.bound(sidecar.management.listen(config.management()), config.management());
@@ -83,7 +95,7 @@
         return binding;
     }
 
-    private void build(SidecarConfig config, PrintStream log) {
+    private void build(SidecarConfig config, Inherited inherited, PrintStream log) {
         Clock clock = new Clock();
         complaints = new Complaints(clock, log);
         double longest = 0;
@@ -102,10 +114,23 @@
             config.seed());
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
         discovery.listen(exchange, config.known().version());
+        kept = inherited.folder() == null ? null : new MaintenanceFiles(inherited.folder());
+        restoreMaintenance();
         frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
         management = new ManagementServer(loop, complaints, new Operators());
     }
 
+    private void restoreMaintenance() {
+        try {
+            for (String id : kept == null ? Set.<String>of() : kept.read()) {
+                exchange.maintain(id, true);
+                complaints.say("in maintenance since before the start: " + id);
+            }
+        } catch (IOException | IllegalArgumentException e) {
+            complaints.log("what was in maintenance before the start is not known", e);
+        }
+    }
+
     private void warm(SidecarConfig config, PrintStream log) {
         long began = System.nanoTime();
         loop.execute(() -> new Warmup(loop, config, rounds -> {
@@ -160,6 +185,23 @@
             return frontend.unready();
         }
 
+        @Override
+        public String maintain(String id, boolean out) {
+            if (!exchange.hasNamed(id)) {
+                return "no list has named " + id;
+            }
+            exchange.maintain(id, out);
+            try {
+                if (kept != null) {
+                    kept.set(id, out);
+                }
+            } catch (IOException e) {
+                // It holds in this process, which is what was asked for.
+                complaints.log("maintenance will not outlast this process", e);
+            }
+            return null;
+        }
+
         @Override
         public String standby() {
             // A repeated call must not put off what the first has begun.
--- a/src/test/java/mapleroute/sidecar/ManagementTest.java
+++ b/src/test/java/mapleroute/sidecar/ManagementTest.java
@@ -5,12 +5,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -171,4 +174,51 @@
             drain.join();
         }
     }
+
+    // ---- maintenance ----
+
+    /** Guards against anything new to an endpoint in maintenance, also where it is the only one. */
+    @Test
+    void anEndpointInMaintenanceGetsNothingUntilTheCallBack() throws Exception {
+        Fake other = good();
+        start(good(), other);
+        awaitStatus("done");
+        assertEquals("done\n", rig.call("maint-on s0\n"));
+        assertEquals("done\n", rig.call("maint-on s0\n"), "it may be repeated");
+        for (int i = 0; i < 10; i++) {
+            assertEquals(200, rig.ask("read", 8000).status());
+        }
+        assertEquals(10, other.requests.size());
+        assertEquals("done\n", rig.call("maint-on s1\n"));
+        assertEquals(503, rig.ask("read", 8000).status());
+        assertEquals("done\n", rig.call("maint-off s0\n"), "one call back ends it");
+        assertEquals(200, rig.ask("read", 8000).status());
+        assertEquals(10, other.requests.size());
+    }
+
+    @Test
+    void anIdThatNoListHasNamedIsRefused() throws Exception {
+        start(good());
+        assertTrue(rig.call("maint-on s1\n").startsWith("error no list has named s1"));
+        assertTrue(rig.call("maint-off s1\n").startsWith("error no list has named s1"));
+        assertTrue(rig.call("maint-on s0 s0\n").startsWith("error unknown call"));
+    }
+
+    /** Guards against a ban that a new version forgets, also of an id that would lead out of the folder. */
+    @Test
+    void maintenanceOutlastsTheProcess(@TempDir Path folder) throws Exception {
+        rig = new Rig(good(), good());
+        rig.folder = folder;
+        rig.start();
+        assertEquals("done\n", rig.call("maint-on s0\n"));
+        rig.sidecar.stop();
+        new MaintenanceFiles(folder).set("../s9", true);
+        rig.start();
+        for (int i = 0; i < 4; i++) {
+            assertEquals(200, rig.ask("read", 8000).status());
+        }
+        assertEquals(0, rig.endpoints.get(0).requests.size());
+        assertEquals("done\n", rig.call("maint-off s0\n"));
+        assertEquals(Set.of("../s9"), new MaintenanceFiles(folder).read());
+    }
 }
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -26,6 +26,7 @@
     int askWithinMs = 600_000;
     int sockets = 1024;
     int aimMs = 9000;
+    Path folder;
     private int requests;
 
     Rig(Fake... endpoints) throws IOException {
@@ -71,7 +72,7 @@
         Path file = Files.createTempFile("config", ".json");
         try {
             Files.writeString(file, config());
-            sidecar = Sidecar.start(SidecarConfig.read(file),
+            sidecar = Sidecar.start(SidecarConfig.read(file), new Sidecar.Inherited(folder),
                 new PrintStream(log, true, StandardCharsets.UTF_8));
         } finally {
             Files.delete(file);
