Take over the inherited listener in an upgrade, and leave it at once at SIGTERM

Ruled out: memory (28 of 208 MB), descriptors (11). Design: descriptor 0 becomes the listener without a bind; it is accepted from once the process is warm and discovery has answered, and not from SIGTERM on. It is never closed, as that would redirect the log. What operators told one process of maintenance the other follows by the files; the descriptors that the other holds are read from /proc and left out of the bounds.

--- a/src/main/java/mapleroute/Main.java
+++ b/src/main/java/mapleroute/Main.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import mapleroute.benchlink.BenchLink;
 import mapleroute.benchlink.WireException;
@@ -52,9 +53,19 @@
         }
     }
 
-    private static Sidecar.Inherited inherited() {
+    /** What the platform hands from process to process; GW_FD names the clients' listener. */
+    private static Sidecar.Inherited inherited() throws IOException {
         String folder = System.getenv("TMPDIR");
-        return new Sidecar.Inherited(folder == null || folder.isBlank() ? null : Path.of(folder));
+        String descriptor = System.getenv("GW_FD");
+        ServerSocketChannel listener = null;
+        if (descriptor != null && !descriptor.isBlank()) {
+            if (!descriptor.equals("0") || !(System.inheritedChannel() instanceof ServerSocketChannel held)) {
+                throw new IllegalArgumentException("GW_FD must name descriptor 0, a listening socket, but is "
+                    + descriptor);
+            }
+            listener = held;
+        }
+        return new Sidecar.Inherited(folder == null || folder.isBlank() ? null : Path.of(folder), listener);
     }
 
     /** Starts a sidecar that runs until SIGTERM; returns the exit status of a start that failed. */
--- a/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/src/main/java/mapleroute/sidecar/DiscoveryClient.java
@@ -93,14 +93,23 @@
 
     /** Starts a watch; one that is on goes on, and its next answer serves for both. */
     void watch() {
+        watch((int) (MOST_WAIT_MS * (1 - WAIT_SPREAD * random.nextDouble())));
+    }
+
+    /** As {@link #watch}, but what is new already is told at once. */
+    void ask() {
+        watch(1);
+    }
+
+    private void watch(int wait) {
         if (silence != null) {
             return;
         }
-        waitMs = (int) (MOST_WAIT_MS * (1 - WAIT_SPREAD * random.nextDouble()));
+        waitMs = wait;
         askedNanos = System.nanoTime();
         silence = loop.schedule(() -> fail("no answer in time"), waitMs + SILENCE_MS, TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
-            ask();
+            call();
             return;
         }
         ChannelFuture connecting = bootstrap.connect(address);
@@ -110,7 +119,7 @@
                 return;
             }
             if (connected.isSuccess()) {
-                ask();
+                call();
             } else {
                 fail(connected.cause());
             }
@@ -136,7 +145,7 @@
         }
     }
 
-    private void ask() {
+    private void call() {
         FullHttpRequest call = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
             "/registry/instances?index=" + version + "&wait=" + waitMs, Unpooled.EMPTY_BUFFER);
         call.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -98,7 +98,7 @@
     private final Complaints complaints;
     private final Bootstrap bootstrap;
     private final double idleMs;
-    private final int most;
+    private int most;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     /** All idle connections, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
@@ -119,6 +119,11 @@
         sweeping = loop.scheduleWithFixedDelay(this::closeStale, sweep, sweep, TimeUnit.MILLISECONDS);
     }
 
+    /** How many connections there may be at once. */
+    void bound(int connections) {
+        most = connections;
+    }
+
     /** Takes in where endpoints listen; connections to a process or address that is no more are dropped. */
     void update(ServerList list) {
         if (list.full()) {
--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -28,6 +28,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -66,7 +67,7 @@
     private final Clock clock;
     private final Complaints complaints;
     private final Exchange exchange;
-    private final int most;
+    private int most;
     private final List<RequestClass> kinds;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
@@ -74,6 +75,9 @@
     /** Those with no request in hand, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
     private Channel listener;
+    private boolean accepting;
+    /** Other processes listen on the same socket. */
+    private boolean shared;
     private boolean warm;
     /** When the last request must be answered, once it is to end. */
     private double endsAt = Double.POSITIVE_INFINITY;
@@ -96,9 +100,35 @@
     }
 
     ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = bootstrap().channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .bind(address);
+        listener = bound.channel();
+        accepting = true;
+        return bound;
+    }
+
+    /**
+     * Takes over a listener that other processes have too, and from which nothing is accepted before
+     * {@link #accept}: what this process does not accept yet, another does.
+     */
+    ChannelFuture adopt(ServerSocketChannel bound) {
+        ChannelFuture adopted = bootstrap().channelFactory(() -> new NioServerSocketChannel(bound))
+            .option(ChannelOption.AUTO_READ, false)
+            .register();
+        listener = adopted.channel();
+        shared = true;
+        return adopted;
+    }
+
+    void accept() {
+        accepting = true;
+        mindRoom();
+    }
+
+    private ServerBootstrap bootstrap() {
+        return new ServerBootstrap().group(loop)
             .childOption(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -114,10 +144,12 @@
                     }, new HttpServerCodec(), new HttpObjectAggregator(EndpointPool.MOST_BODY, true),
                         connection);
                 }
-            })
-            .bind(address);
-        listener = bound.channel();
-        return bound;
+            });
+    }
+
+    /** How many connections may carry requests. */
+    void bound(int connections) {
+        most = connections;
     }
 
     /** The code has run often enough to be quick: from now on it may be used. */
@@ -125,10 +157,14 @@
         warm = true;
     }
 
+    boolean isWarm() {
+        return warm;
+    }
+
     /** Null while this sidecar serves, else why it does not. */
     String unready() {
         return draining ? "draining"
-            : !warm ? "starting" : exchange.knowsEndpoints() ? null : "no endpoint is known";
+            : !warm || !accepting ? "starting" : exchange.knowsEndpoints() ? null : "no endpoint is known";
     }
 
     /** It is to end: no request gets longer than until then. */
@@ -163,7 +199,13 @@
     }
 
     void closeListener() {
-        listener.close();
+        accepting = false;
+        if (shared) {
+            // Closing an inherited listener would turn the log away too: the library redirects 0, 1 and 2.
+            listener.config().setAutoRead(false);
+        } else {
+            listener.close();
+        }
     }
 
     void close() {
@@ -191,7 +233,7 @@
         if (!room) {
             complaints.log("no more connections are taken in", connections.size() + " are open");
         }
-        listener.config().setAutoRead(room);
+        listener.config().setAutoRead(room && accepting);
     }
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -10,8 +11,10 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import mapleroute.Contract.RequestClass;
@@ -23,8 +26,9 @@
      * What outlasts a process.
      *
      * @param folder a folder that is kept over an upgrade, or null where there is none
+     * @param listener where clients connect, shared with the processes before and after this one; else null
      */
-    public record Inherited(Path folder) {
+    public record Inherited(Path folder, ServerSocketChannel listener) {
     }
 
     /** One small arena: messages are of a few hundred bytes, and memory is tight. */
@@ -47,6 +51,10 @@
     /** Kept free before SIGKILL: all must be answered by then. */
     private static final double KILL_MARGIN_MS = 200;
     private static final int EMPTY_POLL_MS = 10;
+    /** What one process is told of maintenance must bind the other within the grace, of 0.25 s here. */
+    private static final int FOLLOW_MS = 50;
+    /** A new process must say yes within 6 s, also where discovery has no answer for it. */
+    private static final int LONGEST_UNINFORMED_MS = 2000;
 
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
@@ -59,6 +67,14 @@
     private ManagementServer management;
     /** Null where nothing is kept. */
     private MaintenanceFiles kept;
+    /** What the files told last. */
+    private Set<String> inMaintenance = new TreeSet<>();
+    private EndpointPool endpoints;
+    private int sockets;
+    /** Other processes listen to clients on the same socket. */
+    private boolean shared;
+    /** Discovery has answered since the start, or had its time to. */
+    private boolean informed;
     private InetSocketAddress address;
     private Exchange exchange;
 
@@ -74,12 +90,19 @@
         Sidecar sidecar = new Sidecar();
         try {
             sidecar.loop.submit(() -> sidecar.build(config, inherited, log)).syncUninterruptibly();
-            var bound = sidecar.bound(sidecar.frontend.listen(config.listen()), config.listen());
+            Channel clients = sidecar.bound(inherited.listener() == null
+                ? sidecar.frontend.listen(config.listen()) : sidecar.frontend.adopt(inherited.listener()),
+                config.listen()).channel();
             if (config.management() != null) {
                 sidecar.bound(sidecar.management.listen(config.management()), config.management());
             }
+            sidecar.address = (InetSocketAddress) clients.localAddress();
+            log.println("mapleroute: clients connect to " + sidecar.address
+                + (config.management() == null ? "" : ", operators to " + sidecar.managementAddress()));
+            if (inherited.listener() != null) {
+                sidecar.follow(inherited.folder());
+            }
             sidecar.warm(config, log);
-            sidecar.address = (InetSocketAddress) bound.channel().localAddress();
             return sidecar;
         } catch (InterruptedException e) {
             throw new IOException("interrupted while starting", e);
@@ -104,27 +127,101 @@
             longest = Math.max(longest, kind.deadlineMs());
             longestAim = Math.max(longestAim, kind.aimMs());
         }
+        shared = inherited.listener() != null;
         killMs = Math.min(LONGEST_COUNTED_MS, longest) + KILL_AFTER_MS - KILL_MARGIN_MS;
         // Most answers take less than half of the aim.
         lastCallMs = Math.max(LINGER_MS, killMs - longestAim / 2);
-        int half = Math.max(8, (config.sockets() - SPARE_SOCKETS) / 2);
-        EndpointPool endpoints = new EndpointPool(loop, clock, complaints,
+        sockets = config.sockets();
+        int half = half(0);
+        endpoints = new EndpointPool(loop, clock, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
         discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints,
             config.seed());
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
-        discovery.listen(exchange, config.known().version());
+        discovery.listen(new DiscoveryClient.Listener() {
+            @Override
+            public void listed(ServerList list) {
+                exchange.listed(list);
+                informed = true;
+                acceptIfReady();
+            }
+
+            @Override
+            public void failed() {
+                exchange.failed();
+            }
+        }, config.known().version());
         kept = inherited.folder() == null ? null : new MaintenanceFiles(inherited.folder());
         restoreMaintenance();
         frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
         management = new ManagementServer(loop, complaints, new Operators());
     }
 
+    /** The connections that clients, and endpoints, may have, where others hold so many descriptors. */
+    private int half(int othersHold) {
+        return Math.max(8, (sockets - SPARE_SOCKETS - othersHold) / 2);
+    }
+
+    /**
+     * For as long as there may be two processes: what operators said to the other binds this one too, and
+     * the limits are for both. News of endpoints binds soon after this process says that it serves, so it
+     * asks at once.
+     */
+    private void follow(Path folder) throws IOException {
+        Handover handover = folder == null ? null : new Handover(folder);
+        loop.execute(() -> {
+            discovery.ask();
+            loop.schedule(() -> {
+                informed = true;
+                acceptIfReady();
+            }, LONGEST_UNINFORMED_MS, TimeUnit.MILLISECONDS);
+            if (handover != null) {
+                loop.scheduleWithFixedDelay(() -> {
+                    followMaintenance();
+                    int half = half(handover.othersDescriptors());
+                    frontend.bound(half);
+                    endpoints.bound(half);
+                }, 0, FOLLOW_MS, TimeUnit.MILLISECONDS);
+            }
+        });
+    }
+
+    /** A process that shares its listener accepts once it can serve: until then another one does. */
+    private void acceptIfReady() {
+        if (shared && !frontend.isDraining() && informed && frontend.isWarm() && exchange.knowsEndpoints()) {
+            frontend.accept();
+        }
+    }
+
+    private void followMaintenance() {
+        try {
+            Set<String> said = kept.read();
+            for (String id : said) {
+                if (!inMaintenance.contains(id)) {
+                    exchange.maintain(id, true);
+                    complaints.say("in maintenance by the files: " + id);
+                }
+            }
+            for (String id : inMaintenance) {
+                if (!said.contains(id)) {
+                    exchange.maintain(id, false);
+                    complaints.say("back from maintenance by the files: " + id);
+                }
+            }
+            inMaintenance = said;
+        } catch (IOException | IllegalArgumentException e) {
+            complaints.log("what the other process was told of maintenance is not known", e);
+        }
+    }
+
     private void restoreMaintenance() {
         try {
-            for (String id : kept == null ? Set.<String>of() : kept.read()) {
+            if (kept != null) {
+                inMaintenance = kept.read();
+            }
+            for (String id : inMaintenance) {
                 exchange.maintain(id, true);
-                complaints.say("in maintenance since before the start: " + id);
+                complaints.say("in maintenance by the files: " + id);
             }
         } catch (IOException | IllegalArgumentException e) {
             complaints.log("what was in maintenance before the start is not known", e);
@@ -135,6 +232,7 @@
         long began = System.nanoTime();
         loop.execute(() -> new Warmup(loop, config, rounds -> {
             frontend.warm();
+            acceptIfReady();
             log.println("mapleroute: warm after " + (System.nanoTime() - began) / 1_000_000 + " ms and "
                 + rounds + " rounds");
         }).start());
@@ -150,7 +248,11 @@
         loop.execute(() -> {
             complaints.say("draining, with " + exchange.openRequests() + " requests in hand");
             frontend.endIn(killMs);
-            frontend.drain((long) lastCallMs, (long) lastCallMs);
+            // Where another process listens too, clients do best to move there with their next answer.
+            frontend.drain(shared ? 0 : (long) lastCallMs, (long) lastCallMs);
+            if (shared) {
+                frontend.closeListener();
+            }
         });
         loop.schedule(frontend::closeListener, LINGER_MS, TimeUnit.MILLISECONDS);
         loop.scheduleWithFixedDelay(() -> {
@@ -194,6 +296,12 @@
             try {
                 if (kept != null) {
                     kept.set(id, out);
+                    // As the files are now: the other process may change them before the next look.
+                    if (out) {
+                        inMaintenance.add(id);
+                    } else {
+                        inMaintenance.remove(id);
+                    }
                 }
             } catch (IOException e) {
                 // It holds in this process, which is what was asked for.
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -72,7 +72,7 @@
         Path file = Files.createTempFile("config", ".json");
         try {
             Files.writeString(file, config());
-            sidecar = Sidecar.start(SidecarConfig.read(file), new Sidecar.Inherited(folder),
+            sidecar = Sidecar.start(SidecarConfig.read(file), new Sidecar.Inherited(folder, null),
                 new PrintStream(log, true, StandardCharsets.UTF_8));
         } finally {
             Files.delete(file);
--- /dev/null
+++ b/src/test/java/mapleroute/sidecar/UpgradeTest.java
@@ -0,0 +1,194 @@
+package mapleroute.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two real processes that inherit one listening socket, as the platform's do while one takes over. */
+@Timeout(90)
+class UpgradeTest {
+
+    /** Perl, which every Debian has, stands for the platform: Java hands no socket to what it starts. */
+    private static final String PLATFORM = """
+        use Socket;
+        $| = 1;
+        socket(my $s, PF_INET, SOCK_STREAM, 0) or die;
+        bind($s, sockaddr_in(0, INADDR_LOOPBACK)) or die;
+        listen($s, 100) or die;
+        my ($port) = sockaddr_in(getsockname($s));
+        print "$port\\n";
+        open(STDIN, '<&', $s) or die;
+        while (my $config = shift @ARGV) {
+            last if $config eq '--';
+            push @configs, $config;
+        }
+        for my $config (@configs) {
+            my $pid = fork;
+            if ($pid == 0) {
+                $ENV{GW_CONFIG} = $config;
+                open(STDERR, '>', "$config.log") or die;
+                exec @ARGV;
+            }
+            print "$pid\\n";
+        }
+        1 while wait > 0;
+        """;
+
+    @TempDir
+    Path folder;
+    private Rig rig;
+    private Process platform;
+    private InetSocketAddress clients;
+    private final List<ProcessHandle> processes = new ArrayList<>();
+    private final List<Path> logs = new ArrayList<>();
+
+    @BeforeEach
+    void start() throws Exception {
+        rig = new Rig(Fake.answering(200, "", "old"), Fake.answering(200, "", "served"));
+        // Whoever asks is told at once that nothing is new, and hears no more.
+        rig.discovery.script = (wire, request) -> {
+            if (request.line().contains("wait=1 ")) {
+                Fake.answer(wire, 200, "", Rig.list(1, false));
+            } else {
+                wire.awaitEnd();
+            }
+        };
+        List<String> command = new ArrayList<>(List.of("perl", "-e", PLATFORM));
+        for (int i = 0; i < 2; i++) {
+            Path config = folder.resolve("config" + i);
+            Files.writeString(config, rig.config());
+            command.add(config.toString());
+            logs.add(folder.resolve("config" + i + ".log"));
+        }
+        command.addAll(List.of("--", System.getProperty("java.home") + "/bin/java", "-XX:TieredStopAtLevel=1",
+            "-cp", System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+            "mapleroute.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT);
+        builder.environment().put("GW_FD", "0");
+        builder.environment().put("TMPDIR", Files.createDirectory(folder.resolve("tmp")).toString());
+        platform = builder.start();
+        BufferedReader said = platform.inputReader();
+        clients = new InetSocketAddress("127.0.0.1", Integer.parseInt(said.readLine()));
+        for (int i = 0; i < 2; i++) {
+            processes.add(ProcessHandle.of(Long.parseLong(said.readLine())).orElseThrow());
+        }
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        processes.forEach(ProcessHandle::destroyForcibly);
+        platform.waitFor();
+        rig.close();
+    }
+
+    private String call(int process, String line) {
+        try {
+            String log = Files.exists(logs.get(process)) ? Files.readString(logs.get(process)) : "";
+            Matcher at = Pattern.compile("operators to /127.0.0.1:(\\d+)").matcher(log);
+            if (!at.find()) {
+                return "";
+            }
+            int port = Integer.parseInt(at.group(1));
+            try (Wire wire = Wire.to(new InetSocketAddress("127.0.0.1", port))) {
+                return wire.send(line + "\n").rest();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private boolean logged(int process, String text) {
+        try {
+            return Files.readString(logs.get(process)).contains(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private Wire.Message ask(Wire client) throws IOException {
+        return client.send(rig.request("read", 8000)).read();
+    }
+
+    @Test
+    void theNewProcessTakesOverAndNoRequestIsTurnedBack() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            int process = i;
+            Rig.await("both serve", () -> call(process, "status").equals("done\n"));
+        }
+        List<Wire> kept = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            kept.add(Wire.to(clients));
+            assertEquals(200, ask(kept.get(i)).status());
+        }
+        processes.get(0).destroy();
+        Rig.await("the old one drains", () -> call(0, "status").startsWith("error draining"));
+        for (int i = 0; i < 40; i++) {
+            try (Wire fresh = Wire.to(clients)) {
+                Wire.Message answer = ask(fresh);
+                assertEquals(200, answer.status());
+                assertFalse(answer.headers().containsKey("connection"), "the new one answers");
+            }
+        }
+        int moved = 0;
+        for (Wire wire : kept) {
+            Wire.Message answer = ask(wire);
+            assertEquals(200, answer.status());
+            moved += "close".equals(answer.headers().get("connection")) ? 1 : 0;
+            wire.close();
+        }
+        assertTrue(moved < 40, "some were the new one's: " + moved);
+        processes.get(0).onExit().join();
+        assertTrue(Files.readString(logs.get(0)).contains("drained"), "the log lasts to the end");
+        assertEquals("done\n", call(1, "status"));
+    }
+
+    /** Guards against a ban, or its end, that only one of two processes hears of. */
+    @Test
+    void whatOneIsToldOfMaintenanceBindsBoth() throws Exception {
+        for (int i = 0; i < 2; i++) {
+            int process = i;
+            Rig.await("both serve", () -> call(process, "status").equals("done\n"));
+        }
+        Fake other = rig.endpoints.get(1);
+        assertEquals("done\n", call(0, "maint-on s0"));
+        Rig.await("the other one follows", () -> logged(1, "in maintenance by the files: s0"));
+        int before = rig.endpoints.get(0).requests.size();
+        for (int i = 0; i < 40; i++) {
+            try (Wire fresh = Wire.to(clients)) {
+                assertEquals("served", ask(fresh).body());
+            }
+        }
+        assertEquals(before, rig.endpoints.get(0).requests.size());
+        assertEquals("done\n", call(1, "maint-on s1"));
+        assertEquals("done\n", call(1, "maint-off s0"));
+        Rig.await("both follow", () -> {
+            for (int i = 0; i < 10; i++) {
+                try (Wire fresh = Wire.to(clients)) {
+                    if (!ask(fresh).body().equals("old")) {
+                        return false;
+                    }
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+            return true;
+        });
+        assertTrue(other.requests.size() >= 40);
+    }
+}
