--- a/src/main/java/mapleroute/Main.java
+++ b/src/main/java/mapleroute/Main.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import mapleroute.benchlink.BenchLink;
 import mapleroute.benchlink.WireException;
@@ -52,6 +53,21 @@
         }
     }
 
+    /** What the platform hands from process to process; GW_FD names the clients' listener. */
+    private static Sidecar.Inherited inherited() throws IOException {
+        String folder = System.getenv("TMPDIR");
+        String descriptor = System.getenv("GW_FD");
+        ServerSocketChannel listener = null;
+        if (descriptor != null && !descriptor.isBlank()) {
+            if (!descriptor.equals("0") || !(System.inheritedChannel() instanceof ServerSocketChannel held)) {
+                throw new IllegalArgumentException("GW_FD must name descriptor 0, a listening socket, but is "
+                    + descriptor);
+            }
+            listener = held;
+        }
+        return new Sidecar.Inherited(folder == null || folder.isBlank() ? null : Path.of(folder), listener);
+    }
+
     /** Starts a sidecar that runs until SIGTERM; returns the exit status of a start that failed. */
     static int serve(String configFile, PrintStream errors) {
         try {
@@ -60,7 +76,7 @@
                     + configFile);
             }
             Path file = Path.of(configFile);
-            Sidecar sidecar = Sidecar.start(SidecarConfig.read(file), errors);
+            Sidecar sidecar = Sidecar.start(SidecarConfig.read(file), inherited(), errors);
             // Unhandled, SIGHUP ends the program; the platform sends it when the file is another.
             Signal.handle(new Signal("HUP"), signal -> sidecar.reload(file));
             // Halting from the hook, once empty, makes a stop by SIGTERM a clean exit.
