--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -66,7 +66,8 @@
             "parallel-tries":true,"retry-after":false,"try-limit":3},
             "rules":{"cold-share":0.5,"cold-ms":1000,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
             "ask-within-ms":%d}}}""".formatted(discovery.address(), sockets, list(1, true,
-                lines.toArray(String[]::new)), deadlineMs, aimMs, deadlineMs, aimMs, deadlineMs, aimMs, idleCloseMs, askWithinMs);
+                lines.toArray(String[]::new)), deadlineMs, aimMs, deadlineMs, aimMs, deadlineMs, aimMs,
+                idleCloseMs, askWithinMs);
     }
 
     Rig start() throws IOException {
