--- a/src/main/java/mapleroute/Contract.java
+++ b/src/main/java/mapleroute/Contract.java
@@ -185,7 +185,10 @@
         /** A client has sent a request; the balancer now owes it one final answer. */
         void onRequest(double now, Request request);
 
-        /** A streamed answer has begun. */
+        /**
+         * A streamed answer has begun: it is the client's from now on, and no time runs any more. The time
+         * that its end tells is the one to here.
+         */
         void onStreamStarted(double now, String request, int attempt);
 
         /** An attempt has ended. */
@@ -200,7 +203,11 @@
 
     /** What a balancer has its host do, in the order of the calls. */
     public interface Actions {
-        /** Starts the request's next attempt; attempts are numbered from 0. */
+        /**
+         * Starts the request's next attempt; attempts are numbered from 0. Its time-out counts from the
+         * request's last byte, which may be to come. A request of which not all is held any more cannot be
+         * sent again: the attempt ends as {@link Outcome#IGNORED}.
+         */
         void send(String request, String server, double timeoutMs);
 
         /** Final answer: turned away, and safe to try again after the cool-down. */
--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -138,6 +138,8 @@
         /** The rank it has by the design's formula, at the server's present place and cost. */
         double rank;
         boolean busy;
+        /** Its call's answer is on its way to the client. */
+        boolean streaming;
         /** A call was answered on it and none was lost since: a connection for it stands open. */
         boolean connected;
         /** Left the pool while a call was still out on it. */
@@ -719,8 +721,11 @@
     public void onStreamStarted(double now, String request, int attempt) {
         tick(now);
         Call call = calls.get(request);
-        if (call != null) {
+        if (call != null && !call.answered && attempt < call.attempts.size()) {
             call.answered = true;
+            // Its work is done. Its slot is not free, but who is slow to read must not keep others out.
+            call.attempts.get(attempt).slot().streaming = true;
+            inFlight--;
         }
     }
 
@@ -802,7 +807,8 @@
         Target target = slot.target;
         slot.busy = false;
         target.inFlight--;
-        inFlight--;
+        inFlight -= slot.streaming ? 0 : 1;
+        slot.streaming = false;
         boolean alive = learnConnection(slot, outcome);
         if (alive) {
             drop(slot);
--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -11,11 +11,12 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -41,31 +42,42 @@
 /** The connections to each endpoint: one request at a time on each, kept alive, bounded in all. */
 final class EndpointPool {
 
-    /** The largest body that the protocol allows. */
-    static final int MOST_BODY = 64 * 1024;
     /** An idle connection is closed at this part of the time after which the endpoint may close it. */
     private static final double IDLE_SHARE = 0.5;
     private static final int SWEEPS = 10;
 
-    /** How an attempt ended; it is told once, and never after {@link Attempt#giveUp}. */
+    /** What comes of an attempt; nothing is told after {@link Attempt#giveUp}. */
     interface Ending {
+        /** A large answer has begun, which is passed on as it comes; its end is told too. */
+        void started(Answer answer);
+
+        /** How the attempt ended; it is told once. */
         void ended(Outcome outcome, Answer answer);
     }
 
-    /** What an endpoint answered with 200. */
-    record Answer(String contentType, byte[] body) {
+    /**
+     * What an endpoint answered with 200.
+     *
+     * @param body all of the body, or null for a large one
+     * @param stream a large body on its way, or null
+     * @param length the length of a large body, or -1 if it is not told
+     */
+    record Answer(String contentType, byte[] body, Body stream, long length) {
     }
 
     /** One request on its way to an endpoint. */
     final class Attempt {
-        private final FullHttpRequest request;
+        private final HttpRequest request;
+        /** Its body where that is passed on as it comes, else null. */
+        private final Body upload;
         private Ending ending;
         private Connection connection;
         /** The last byte has been handed to the network: from here on the request may have run. */
         private boolean written;
 
-        private Attempt(FullHttpRequest request, Ending ending) {
+        private Attempt(HttpRequest request, Body upload, Ending ending) {
             this.request = request;
+            this.upload = upload;
             this.ending = ending;
         }
 
@@ -73,9 +85,17 @@
         boolean giveUp() {
             ending = null;
             connection.close();
+            // No more of the body may go there, while the connection closes, than has gone.
+            connection.leave(this);
             return written;
         }
 
+        private void start(Answer answer) {
+            if (ending != null) {
+                ending.started(answer);
+            }
+        }
+
         private void end(Outcome outcome, Answer answer) {
             Ending told = ending;
             ending = null;
@@ -114,7 +134,9 @@
         this.most = most;
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
-            .option(ChannelOption.TCP_NODELAY, true);
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, Sidecar.READS)
+            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Sidecar.WINDOW);
         use(dialMs, idleCloseMs);
     }
 
@@ -183,8 +205,8 @@
     }
 
     /** Sends a request once, on an idle connection or a new one. It may end before this returns. */
-    Attempt send(String id, FullHttpRequest request, Ending ending) {
-        Attempt attempt = new Attempt(request, ending);
+    Attempt send(String id, HttpRequest request, Body upload, Ending ending) {
+        Attempt attempt = new Attempt(request, upload, ending);
         Endpoint endpoint = endpoints.get(id);
         closeStale();
         Connection connection = endpoint == null ? null : endpoint.idle.peekLast();
@@ -202,7 +224,7 @@
 
     private void refuse(Attempt attempt, String why) {
         complaints.log("no connection", why);
-        attempt.request.release();
+        ReferenceCountUtil.release(attempt.request);
         attempt.end(Outcome.CONNECT_ERROR, null);
     }
 
@@ -250,7 +272,7 @@
         }
     }
 
-    private final class Connection extends ChannelInboundHandlerAdapter {
+    private final class Connection extends ChannelInboundHandlerAdapter implements Body.Sink {
         private final Endpoint endpoint;
         private final int generation;
         private Channel channel;
@@ -258,6 +280,9 @@
         private double idleSince;
         private HttpResponse head;
         private ByteBuf body;
+        /** The answer's body, where that is passed on as it comes. */
+        private Body download;
+        private boolean failed;
 
         Connection(Endpoint endpoint) {
             this.endpoint = endpoint;
@@ -276,11 +301,11 @@
             });
             connecting.addListener(connected -> {
                 if (!connected.isSuccess()) {
-                    first.request.release();
+                    ReferenceCountUtil.release(first.request);
                     channel.close();
                     lost();
                 } else if (first.ending == null) {
-                    first.request.release();
+                    ReferenceCountUtil.release(first.request);
                     channel.close();
                 } else {
                     send(first);
@@ -304,7 +329,16 @@
         }
 
         private void send(Attempt sent) {
-            channel.writeAndFlush(sent.request).addListener(written -> {
+            ChannelFuture writing = channel.writeAndFlush(sent.request);
+            if (sent.upload == null) {
+                lastByteGoes(writing, sent);
+            } else {
+                sent.upload.attach(this);
+            }
+        }
+
+        private void lastByteGoes(ChannelFuture writing, Attempt sent) {
+            writing.addListener(written -> {
                 sent.written = written.isSuccess();
                 if (!written.isSuccess()) {
                     channel.close();
@@ -312,6 +346,36 @@
             });
         }
 
+        @Override
+        public void part(ByteBuf data) {
+            Body upload = attempt.upload;
+            channel.writeAndFlush(new DefaultHttpContent(data));
+            upload.wants(channel.isWritable());
+        }
+
+        @Override
+        public void end() {
+            lastByteGoes(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), attempt);
+        }
+
+        @Override
+        public void broken() {
+            channel.close();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (attempt != null && attempt.upload != null && !attempt.written) {
+                attempt.upload.wants(channel.isWritable());
+            }
+        }
+
+        private void leave(Attempt left) {
+            if (left.upload != null) {
+                left.upload.detach(this);
+            }
+        }
+
         void close() {
             endpoint.idle.remove(this);
             idle.remove(this);
@@ -326,15 +390,17 @@
             Attempt ended = attempt;
             attempt = null;
             if (ended != null) {
+                leave(ended);
                 ended.end(ended.written ? Outcome.RESET : Outcome.CONNECT_ERROR, null);
             }
         }
 
         private void dropBody() {
-            if (body != null) {
-                body.release();
-                body = null;
+            if (download != null) {
+                download.fail();
+                download = null;
             }
+            body = null;
             head = null;
         }
 
@@ -370,39 +436,66 @@
         }
 
         private void take(HttpContent content) {
-            if (content.decoderResult().isFailure()
-                    || body.readableBytes() + content.content().readableBytes() > MOST_BODY) {
+            boolean last = content instanceof LastHttpContent;
+            if (content.decoderResult().isFailure() || last && failed) {
                 close();
                 return;
             }
-            body.writeBytes(content.content());
-            if (!(content instanceof LastHttpContent)) {
-                return;
+            if (download != null) {
+                if (content.content().isReadable()) {
+                    download.add(content.content());
+                }
+            } else {
+                body.writeBytes(content.content());
             }
             int status = head.status().code();
-            if (status < 200) {
+            if (!last) {
+                takeLarge(status);
+            } else if (status < 200) {
                 dropBody();
-                return;
-            }
-            // A body that only the connection's end ends may be cut short: it counts as no answer.
-            if (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
+            } else if (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
+                // A body that only the connection's end ends may be cut short: it counts as no answer.
+                complaints.log("answer without an end of its own", status);
                 close();
-                return;
+            } else {
+                answered(status);
+            }
+        }
+
+        private void takeLarge(int status) {
+            long length = HttpUtil.getContentLength(head, -1L);
+            boolean large = body != null && (body.readableBytes() > Body.WHOLE
+                || length > Body.WHOLE && body.isReadable());
+            if (large && status == 200) {
+                download = new Body(clock, wanted -> channel.config().setAutoRead(wanted), body);
+                body = null;
+                attempt.start(new Answer(head.headers().get(HttpHeaderNames.CONTENT_TYPE), null, download,
+                    length));
+            } else if (large) {
+                // What it says is of no use, only how it ended; the rest need not come.
+                answered(status);
             }
-            answered(status);
         }
 
         private void answered(int status) {
             boolean notRun = "1".equals(head.headers().get("X-Not-Run"));
             Outcome outcome = status == 200 ? Outcome.OK
                 : (status == 503 || status == 504) && notRun ? Outcome.QUEUE_FULL : Outcome.FAILED;
-            Answer answer = outcome != Outcome.OK ? null
-                : new Answer(head.headers().get(HttpHeaderNames.CONTENT_TYPE), ByteBufUtil.getBytes(body));
+            Answer answer = outcome != Outcome.OK || download != null ? null
+                : new Answer(head.headers().get(HttpHeaderNames.CONTENT_TYPE), ByteBufUtil.getBytes(body),
+                    null, 0);
             boolean kept = HttpUtil.isKeepAlive(head) && attempt.written && channel.isActive()
-                && generation == endpoint.generation;
+                && generation == endpoint.generation && (body == null || body.readableBytes() <= Body.WHOLE);
+            Body passed = download;
+            download = null;
             dropBody();
             Attempt ended = attempt;
             attempt = null;
+            leave(ended);
+            channel.config().setAutoRead(true);
+            if (passed != null) {
+                passed.end();
+            }
             // First the connection, then the word: what it leads to may need the connection.
             if (kept) {
                 idleSince = clock.now();
@@ -420,6 +513,7 @@
             if (!(cause instanceof java.io.IOException)) {
                 complaints.bug("connection to an endpoint", cause);
             }
+            failed = true;
             close();
         }
     }
--- a/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/src/main/java/mapleroute/sidecar/Exchange.java
@@ -3,10 +3,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
@@ -36,12 +37,21 @@
     /** Where lists are pushed, the agent is asked again after this pause when a call has failed. */
     private static final int AGENT_PAUSE_MS = 100;
 
-    /** What a client sent, beyond what the module decides by. */
-    record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+    /** A stream is given up when nothing has moved for so long: far longer than any peer that still gives. */
+    private static final double STALL_MS = 10_000;
+
+    /**
+     * What a client sent, beyond what the module decides by.
+     *
+     * @param body all of the body, or null for a large one
+     * @param upload a large body on its way, or null
+     */
+    record Message(HttpMethod method, String uri, HttpHeaders headers, byte[] body, Body upload) {
     }
 
     /** Where the final answer to a request goes; exactly one of these is called, once. */
     interface Client {
+        /** All of the answer, or a large one that has begun. */
         void served(EndpointPool.Answer answer);
 
         void refused(double coolDownMs);
@@ -62,6 +72,8 @@
         final Message message;
         final Client client;
         final double takenAt;
+        /** How long the client waits, from its last byte on. */
+        final double budgetMs;
         /** The most attempts, by the settings under which it came. */
         final int mostTries;
         final List<Try> tries = new ArrayList<>(2);
@@ -79,6 +91,19 @@
             this.client = client;
             this.takenAt = takenAt;
             this.mostTries = mostTries;
+            budgetMs = request.deadlineMs() - takenAt;
+        }
+
+        /** When its answer is due: its time counts from its last byte, which may be to come. */
+        double dueAt(double now) {
+            Body upload = message.upload();
+            return upload == null ? request.deadlineMs()
+                : (upload.isEnded() ? upload.movedAt() : now) + budgetMs;
+        }
+
+        /** When its last byte, or the last so far, has come or gone on. */
+        double movedAt() {
+            return message.upload() == null ? 0 : message.upload().movedAt();
         }
 
         /** The request's way in one line: what became of it, and of each of its attempts. */
@@ -103,6 +128,8 @@
         EndpointPool.Attempt attempt;
         Future<?> timeout;
         boolean ended;
+        /** Its answer is passed on as it comes. */
+        boolean streaming;
         Outcome outcome;
         double tookMs;
 
@@ -185,11 +212,17 @@
         if (open != null && !open.concluded) {
             conclude(open, "left by its client");
             raise(open, now -> module.onClientGone(now, id));
+        } else if (open != null) {
+            open.tries.stream().filter(made -> made.streaming)
+                .forEach(made -> giveUp(open, made, Outcome.CANCELED));
         }
     }
 
     private void overdue(Open open) {
-        if (!open.concluded) {
+        double left = open.dueAt(clock.now()) - clock.now();
+        if (left > 0 && !open.concluded) {
+            open.overdue = after(left + OVERDUE_MS, () -> overdue(open));
+        } else if (!open.concluded) {
             complaints.log("no decision by the deadline", open.request.id());
             abandon(open);
         }
@@ -265,22 +298,33 @@
         Try made = new Try(open.tries.size(), server, now);
         open.tries.add(made);
         open.out++;
-        double left = open.request.deadlineMs() - now;
+        double left = open.dueAt(now) - now;
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
-        if (open.concluded || left <= 0 || open.tries.size() > open.mostTries) {
+        Body upload = open.message.upload();
+        if (open.concluded || left <= 0 || open.tries.size() > open.mostTries
+                || upload != null && !upload.isHeld()) {
             end(open, made, Outcome.IGNORED);
         } else if (wait <= 0) {
             end(open, made, Outcome.TIMED_OUT);
         } else {
-            made.timeout = after(wait, () -> giveUp(open, made, Outcome.TIMED_OUT));
+            made.timeout = after(wait, () -> timeOut(open, made, wait));
             try {
-                made.attempt = endpoints.send(server, message(open.message, wait), (outcome, answer) -> {
-                    if (outcome == Outcome.OK && !open.concluded) {
-                        conclude(open, "served");
-                        open.client.served(answer);
-                    }
-                    end(open, made, outcome);
-                });
+                made.attempt = endpoints.send(server, message(open.message, wait), upload,
+                    new EndpointPool.Ending() {
+                        @Override
+                        public void started(EndpointPool.Answer answer) {
+                            stream(open, made, answer);
+                        }
+
+                        @Override
+                        public void ended(Outcome outcome, EndpointPool.Answer answer) {
+                            if (outcome == Outcome.OK && !open.concluded) {
+                                conclude(open, "served");
+                                open.client.served(answer);
+                            }
+                            end(open, made, outcome);
+                        }
+                    });
             } catch (RuntimeException e) {
                 // How far it came is not known, so it may have run; the module must hear of its end.
                 complaints.bug("sending failed", e);
@@ -289,9 +333,55 @@
         }
     }
 
-    private static FullHttpRequest message(Message from, double waitMs) {
+    /** From its first byte on a large answer is the client's: no time runs any more. */
+    private void stream(Open open, Try made, EndpointPool.Answer answer) {
+        made.timeout.cancel(false);
+        made.tookMs = took(open, made);
+        made.streaming = true;
+        conclude(open, "served");
+        open.client.served(answer);
+        raise(open, now -> module.onStreamStarted(now, open.request.id(), made.number));
+        after(STALL_MS, () -> mindStall(open, made, answer.stream()));
+    }
+
+    private void mindStall(Open open, Try made, Body download) {
+        double left = download.movedAt() + STALL_MS - clock.now();
+        if (made.ended) {
+            return;
+        }
+        if (left > 0) {
+            after(left, () -> mindStall(open, made, download));
+        } else {
+            complaints.log("a stream has stalled", open.request.id());
+            giveUp(open, made, Outcome.RESET);
+        }
+    }
+
+    /**
+     * An attempt's time counts from the request's last byte. Until that has come it runs only while the
+     * endpoint takes nothing, not while the client gives nothing.
+     */
+    private void timeOut(Open open, Try made, double waitMs) {
+        Body upload = open.message.upload();
+        double left = upload != null && !upload.isEnded() && upload.isWanted() ? waitMs
+            : open.movedAt() + waitMs - clock.now();
+        if (left > 0 && !made.ended) {
+            made.timeout = after(left, () -> timeOut(open, made, waitMs));
+        } else {
+            giveUp(open, made, Outcome.TIMED_OUT);
+        }
+    }
+
+    private double took(Open open, Try made) {
+        return Math.max(0, clock.now() - Math.max(made.sentAt, open.movedAt()));
+    }
+
+    private static HttpRequest message(Message from, double waitMs) {
         HttpHeaders headers = from.headers().copy();
         headers.set(Frontend.DEADLINE, (long) Math.ceil(waitMs));
+        if (from.upload() != null) {
+            return new DefaultHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(), headers);
+        }
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, from.method(), from.uri(),
             Unpooled.wrappedBuffer(from.body()), headers, EmptyHttpHeaders.INSTANCE);
     }
@@ -312,7 +402,7 @@
         if (made.timeout != null) {
             made.timeout.cancel(false);
         }
-        double took = clock.now() - made.sentAt;
+        double took = made.streaming ? made.tookMs : took(open, made);
         made.outcome = outcome;
         made.tookMs = took;
         raise(open, now -> {
@@ -350,7 +440,7 @@
     @Override
     public void cancel(String id, int attempt) {
         Open open = table.get(id);
-        if (open != null && attempt < open.tries.size()) {
+        if (open != null && attempt < open.tries.size() && !open.tries.get(attempt).streaming) {
             giveUp(open, open.tries.get(attempt), Outcome.CANCELED);
         }
     }
--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -16,16 +16,22 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -56,8 +62,16 @@
     /** Connections above the bound that are still taken in, to refuse what they ask in good order. */
     private static final int OVERFLOW = 48;
     private static final double OVERFLOW_COOL_DOWN_MS = 1000;
-    /** A peer must have an error or a close 3 s after it connected, or began one on a kept connection. */
-    private static final int WHOLE_REQUEST_MS = 2250;
+    /** A request may take so long, or its head may: after that its body has to come on at a pace. */
+    private static final int FREE_MS = 2000;
+    /**
+     * It comes on if in so long so much of it comes, a quarter of the slowest pace there may be. A peer that
+     * sends no request must have an error or a close 3 s after it connected, so both times together are less.
+     */
+    private static final int PACE_MS = 600;
+    private static final int LEAST_PACE = 10 * 1024;
+    /** For so long the rest of a body is still taken in after its request has had its answer. */
+    private static final int REST_MS = 2000;
     /** Headers that concern one connection only. */
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
         HttpHeaderNames.PROXY_CONNECTION, "keep-alive", HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
@@ -137,6 +151,8 @@
     private ServerBootstrap bootstrap() {
         return new ServerBootstrap().group(loop)
             .childOption(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Sidecar.READS)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Sidecar.WINDOW)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override
@@ -145,11 +161,10 @@
                     accepted.pipeline().addLast(new ChannelInboundHandlerAdapter() {
                         @Override
                         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-                            connection.awaitWholeRequest();
+                            connection.awaitRequest();
                             ctx.fireChannelRead(bytes);
                         }
-                    }, new HttpServerCodec(), new HttpObjectAggregator(EndpointPool.MOST_BODY, true),
-                        connection);
+                    }, new HttpServerCodec(), connection);
                 }
             });
     }
@@ -243,12 +258,26 @@
         listener.config().setAutoRead(room && accepting);
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
         /** In the order of the requests, which is the order that HTTP asks answers to be in. */
         private final Deque<Reply> replies = new ArrayDeque<>();
-        /** Runs from the connect or a request's first byte until the request is there. */
-        private Future<?> incomplete;
+        /** Runs until the head, then while the body is to come. */
+        private Future<?> clocked;
+        /** The request that is coming in, or null. */
+        private HttpRequest head;
+        /** What has come of its body. */
+        private ByteBuf held;
+        /** Its body where that is passed on as it comes, and the answer that it will get. */
+        private Body upload;
+        private Reply uploading;
+        /** It has had its answer: the rest of it is of no use. */
+        private boolean discarding;
+        /** A client that waits for the word to send its body gets it when its turn has come. */
+        private boolean goAheadDue;
+        private int cameLately;
+        /** No request is taken any more: an answer was the last, or will be. */
+        private boolean ending;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -259,38 +288,77 @@
             connections.add(this);
             mindRoom();
             idle.add(this);
-            awaitWholeRequest();
+            awaitRequest();
         }
 
-        private void awaitWholeRequest() {
-            if (incomplete == null) {
-                incomplete = loop.schedule(this::tooSlow, WHOLE_REQUEST_MS, TimeUnit.MILLISECONDS);
+        private void awaitRequest() {
+            if (clocked == null && head == null && !ending) {
+                clocked = loop.schedule(this::mindPace, FREE_MS, TimeUnit.MILLISECONDS);
             }
         }
 
-        private void wholeRequestCame() {
-            if (incomplete != null) {
-                incomplete.cancel(false);
-                incomplete = null;
+        private void stopClock() {
+            if (clocked != null) {
+                clocked.cancel(false);
+                clocked = null;
             }
         }
 
+        /** Bodies are judged by how they come on, as large ones may take long. */
+        private void mindPace() {
+            cameLately = 0;
+            clocked = loop.schedule(() -> {
+                if (head != null && cameLately >= LEAST_PACE || !channel.config().isAutoRead()) {
+                    mindPace();
+                } else {
+                    tooSlow();
+                }
+            }, PACE_MS, TimeUnit.MILLISECONDS);
+        }
+
         private void tooSlow() {
-            Reply reply = new Reply(this);
-            replies.add(reply);
-            idle.remove(this);
-            reply.plain(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time", false);
+            if (discarding) {
+                channel.close();
+                return;
+            }
+            complaints.log("a peer sent no whole request in time", head == null ? "no head" : head.uri());
+            stopTaking(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time");
         }
 
+        /** Nothing on this connection can be understood any more; that is the last answer. */
+        private void stopTaking(HttpResponseStatus status, String why) {
+            stopClock();
+            ending = true;
+            Reply reply = uploading;
+            if (reply == null) {
+                reply = new Reply(this);
+                replies.add(reply);
+                idle.remove(this);
+            } else if (reply.id != null) {
+                exchange.clientGone(reply.id);
+            }
+            forgetIncoming();
+            if (!reply.isAnswered()) {
+                reply.plain(status, why, false);
+            }
+        }
+
+        private void forgetIncoming() {
+            head = null;
+            held = null;
+            upload = null;
+            uploading = null;
+        }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
             idle.remove(this);
-            wholeRequestCame();
+            stopClock();
+            forgetIncoming();
             mindRoom();
             for (Reply reply : List.copyOf(replies)) {
-                if (reply.id != null && reply.response == null) {
+                if (reply.id != null && !reply.over) {
                     exchange.clientGone(reply.id);
                 }
             }
@@ -298,36 +366,152 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            if (!replies.isEmpty() && !replies.peekLast().keepAlive) {
-                // The connection ends with that answer.
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (message instanceof HttpRequest request && !ending) {
+                begin(request);
+            }
+            if (message instanceof HttpContent content && (discarding || head != null)) {
+                take(content);
+            }
+        }
+
+        private void begin(HttpRequest request) {
+            if (request.decoderResult().isFailure()) {
+                stopTaking(HttpResponseStatus.BAD_REQUEST, "malformed request");
                 return;
             }
-            wholeRequestCame();
+            // Its first bytes may have come with the last ones of the request before.
+            awaitRequest();
+            head = request;
+            held = Unpooled.buffer(0);
+            goAheadDue = HttpUtil.is100ContinueExpected(request);
+            if (HttpUtil.getContentLength(request, 0L) > Body.WHOLE) {
+                took(false);
+            }
+            goAhead();
+        }
+
+        private void goAhead() {
+            if (goAheadDue && head != null && (replies.isEmpty() || replies.peek() == uploading)) {
+                goAheadDue = false;
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+        }
+
+        private void take(HttpContent content) {
+            ByteBuf data = content.content();
+            boolean last = content instanceof LastHttpContent;
+            cameLately += data.readableBytes();
+            if (content.decoderResult().isFailure()) {
+                stopTaking(HttpResponseStatus.BAD_REQUEST, "malformed request");
+            } else if (discarding) {
+                endDiscarding(last);
+            } else if (upload != null) {
+                upload.add(data);
+                // What is passed on may have failed at once, and the rest be of no use.
+                if (last && upload != null) {
+                    Body whole = upload;
+                    stopClock();
+                    forgetIncoming();
+                    whole.end();
+                }
+            } else {
+                held.writeBytes(data);
+                if (last || held.readableBytes() > Body.WHOLE) {
+                    took(last);
+                }
+            }
+            mindReading();
+        }
+
+        /** The request is there, or so much of it that the rest is passed on as it comes. */
+        private void took(boolean whole) {
+            HttpRequest request = head;
             Reply reply = new Reply(this);
             replies.add(reply);
             idle.remove(this);
-            channel.config().setAutoRead(replies.size() < MOST_AHEAD);
-            if (request.decoderResult().isFailure()) {
-                reply.plain(HttpResponseStatus.BAD_REQUEST, "malformed request", false);
+            reply.keepAlive = HttpUtil.isKeepAlive(request);
+            reply.old = request.protocolVersion().equals(HttpVersion.HTTP_1_0);
+            ending = !reply.keepAlive;
+            Body body = null;
+            if (whole) {
+                stopClock();
+            } else {
+                body = new Body(clock, wanted -> mindReading(), held);
+                upload = body;
+                uploading = reply;
+            }
+            byte[] small = whole ? ByteBufUtil.getBytes(held) : null;
+            if (whole) {
+                forgetIncoming();
+            }
+            dispatch(reply, request, small, body);
+        }
+
+        /** The answer has come before all of its request: the rest is taken in for a while, and dropped. */
+        private void discardRest(Reply answered) {
+            if (uploading == answered) {
+                forgetIncoming();
+                discarding = true;
+                stopClock();
+                clocked = loop.schedule(this::tooSlow, REST_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void endDiscarding(boolean last) {
+            if (last) {
+                discarding = false;
+                stopClock();
+                if (ending) {
+                    channel.close();
+                }
+            }
+        }
+
+        private void mindReading() {
+            channel.config().setAutoRead(discarding || replies.size() < MOST_AHEAD && channel.isWritable()
+                && (upload == null || upload.isWanted()));
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            Reply first = replies.peek();
+            if (first != null && first.begun && first.download != null) {
+                first.download.wants(channel.isWritable());
+            }
+            mindReading();
+        }
+
+        private void dispatch(Reply reply, HttpRequest request, byte[] body, Body large) {
+            String expected = request.headers().get(HttpHeaderNames.EXPECT);
+            if (expected != null && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
+                reply.plain(HttpResponseStatus.EXPECTATION_FAILED, "unknown expectation", true);
                 return;
             }
-            reply.keepAlive = HttpUtil.isKeepAlive(request);
-            int query = request.uri().indexOf('?');
-            switch (query < 0 ? request.uri() : request.uri().substring(0, query)) {
-                case "/api" -> api(reply, request);
+            String target = target(request.uri());
+            int query = target.indexOf('?');
+            switch (query < 0 ? target : target.substring(0, query)) {
+                case "/api" -> api(reply, request, target, body, large);
                 case "/health/ready" -> ready(reply);
                 default -> reply.plain(HttpResponseStatus.NOT_FOUND, "unknown path", true);
             }
         }
 
+        /** Path and query; a client may put scheme and host before them. */
+        private static String target(String uri) {
+            int host = uri.regionMatches(true, 0, "http://", 0, 7) ? 7 : -1;
+            int path = host < 0 ? 0 : uri.indexOf('/', host);
+            return path < 0 ? "/" : uri.substring(path);
+        }
+
         private void ready(Reply reply) {
             String unready = unready();
             reply.plain(unready == null ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
                 unready == null ? "ready" : unready, true);
         }
 
-        private void api(Reply reply, FullHttpRequest request) {
+        private void api(Reply reply, HttpRequest request, String target, byte[] body, Body large) {
             HttpHeaders headers = request.headers();
             String id = headers.get(ID);
             Integer kind = classes.get(headers.get("X-Class", ""));
@@ -344,7 +528,7 @@
                 reply.plain(HttpResponseStatus.BAD_REQUEST, "X-Tenant is missing or unknown", true);
             } else if (deadline < 0) {
                 reply.plain(HttpResponseStatus.BAD_REQUEST, DEADLINE + " is no whole number", true);
-            } else if (!isOfItsClass(kinds.get(kind), request)) {
+            } else if (!isOfItsClass(kinds.get(kind), request, large != null || body.length > 0)) {
                 reply.plain(HttpResponseStatus.BAD_REQUEST, "not the form of its class", true);
             } else if (exchange.has(id)) {
                 reply.plain(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand", true);
@@ -354,47 +538,60 @@
             } else {
                 reply.id = id;
                 exchange.request(new Request(id, kind, tenant, Math.min(endsAt, clock.now() + deadline),
-                    "1".equals(headers.get("X-Retry"))), message(request), reply);
+                    "1".equals(headers.get("X-Retry"))), message(request, target, body, large), reply);
             }
         }
 
         /** What is safe to repeat is a GET without a body, all else a POST; a keyed one has its key. */
-        private static boolean isOfItsClass(RequestClass kind, FullHttpRequest request) {
+        private static boolean isOfItsClass(RequestClass kind, HttpRequest request, boolean hasBody) {
             if (kind.effect() == Effect.REPEATABLE) {
-                return request.method().equals(HttpMethod.GET) && !request.content().isReadable();
+                return request.method().equals(HttpMethod.GET) && !hasBody;
             }
             return request.method().equals(HttpMethod.POST)
                 && (kind.effect() != Effect.BY_KEY || !request.headers().get(KEY, "").isEmpty());
         }
 
-        private Exchange.Message message(FullHttpRequest request) {
+        private static Exchange.Message message(HttpRequest request, String target, byte[] body, Body large) {
             HttpHeaders headers = request.headers().copy();
             HOP_BY_HOP.forEach(headers::remove);
-            byte[] body = ByteBufUtil.getBytes(request.content());
-            if (body.length > 0) {
+            if (large != null && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+                headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            } else if (large == null && body.length > 0) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             }
-            return new Exchange.Message(request.method(), request.uri(), headers, body);
+            return new Exchange.Message(request.method(), target, headers, body, large);
         }
 
         /** Writes the answers that are there, as far as none before them is missing. */
         private void flush() {
-            while (!replies.isEmpty() && replies.peek().response != null) {
-                Reply reply = replies.poll();
-                // What was sent ahead on the connection is in hand too, and gets its answer first.
-                boolean last = closing && replies.isEmpty() || !reply.keepAlive;
-                if (last) {
-                    reply.response.headers().set(HttpHeaderNames.CONNECTION, "close");
+            while (!replies.isEmpty() && replies.peek().isAnswered()) {
+                Reply reply = replies.peek();
+                if (!reply.begun) {
+                    discardRest(reply);
+                    // What was sent ahead on the connection is in hand too, and gets its answer first.
+                    reply.last = closing && replies.size() == 1 && !discarding || !reply.keepAlive;
+                    ending |= reply.last;
+                    if (reply.last) {
+                        reply.response.headers().set(HttpHeaderNames.CONNECTION, "close");
+                    }
+                    reply.begun = true;
+                    ChannelFuture written = channel.writeAndFlush(reply.response);
+                    if (reply.download != null) {
+                        reply.download.attach(reply);
+                    } else {
+                        reply.ended(written);
+                    }
                 }
-                ChannelFuture written = channel.writeAndFlush(reply.response);
-                if (last) {
-                    written.addListener(ChannelFutureListener.CLOSE);
+                if (!reply.over) {
+                    break;
                 }
+                replies.remove(reply);
             }
             if (replies.isEmpty() && connections.contains(this)) {
                 idle.add(this);
             }
-            channel.config().setAutoRead(replies.size() < MOST_AHEAD);
+            goAhead();
+            mindReading();
         }
 
         @Override
@@ -416,25 +613,86 @@
     }
 
     /** The answer that one request on a connection will get. */
-    private static final class Reply implements Exchange.Client {
+    private final class Reply implements Exchange.Client, Body.Sink {
         private final Connection connection;
         private String id;
         private boolean keepAlive;
-        private FullHttpResponse response;
+        /** The client speaks HTTP/1.0. */
+        private boolean old;
+        /** All of the answer, or its head. */
+        private HttpResponse response;
+        /** Its body where that is passed on as it comes. */
+        private Body download;
+        private boolean begun;
+        /** The connection ends with it. */
+        private boolean last;
+        private boolean over;
 
         Reply(Connection connection) {
             this.connection = connection;
         }
 
+        boolean isAnswered() {
+            return response != null;
+        }
+
         @Override
         public void served(EndpointPool.Answer answer) {
-            FullHttpResponse served = response(HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
+            HttpResponse served;
+            if (answer.stream() == null) {
+                served = response(HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
+            } else {
+                served = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                download = answer.stream();
+                frame(served, answer.length());
+            }
             if (answer.contentType() != null) {
                 served.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
             }
             answer(served);
         }
 
+        /** A client of the first version knows no chunks: for it a body of unknown length ends by a close. */
+        private void frame(HttpResponse served, long length) {
+            if (length >= 0) {
+                served.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+            } else if (old) {
+                keepAlive = false;
+            } else {
+                served.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+        }
+
+        @Override
+        public void part(ByteBuf data) {
+            connection.channel.writeAndFlush(new DefaultHttpContent(data));
+            download.wants(connection.channel.isWritable());
+        }
+
+        @Override
+        public void end() {
+            ended(connection.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+            connection.flush();
+        }
+
+        /** With a reset the client can tell that it is not whole, whatever was to show where it ends. */
+        @Override
+        public void broken() {
+            if (connection.channel.isActive()) {
+                connection.channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                connection.channel.close();
+            }
+        }
+
+        /** The last byte is on its way, after which the connection may have to go. */
+        private void ended(ChannelFuture written) {
+            over = true;
+            if ((last || closing && connection.replies.size() == 1) && !connection.discarding) {
+                connection.ending = true;
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
         @Override
         public void refused(double coolDownMs) {
             FullHttpResponse refusal = response(HttpResponseStatus.SERVICE_UNAVAILABLE, text("refused"));
@@ -455,16 +713,16 @@
             answer(response(status, text(why)));
         }
 
-        private void answer(FullHttpResponse made) {
+        private void answer(HttpResponse made) {
             response = made;
             connection.flush();
         }
 
-        private static ByteBuf text(String line) {
+        private ByteBuf text(String line) {
             return Unpooled.wrappedBuffer((line + "\n").getBytes(StandardCharsets.US_ASCII));
         }
 
-        private static FullHttpResponse response(HttpResponseStatus status, ByteBuf body) {
+        private FullHttpResponse response(HttpResponseStatus status, ByteBuf body) {
             FullHttpResponse made = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
             made.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
             return made;
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -2,10 +2,13 @@
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
@@ -36,6 +39,10 @@
 
     /** One small arena: messages are of a few hundred bytes, and memory is tight. */
     static final ByteBufAllocator BUFFERS = new PooledByteBufAllocator(true, 1, 1, 8192, 4, 0, 0, false);
+    /** What is read at once: a large body comes in few reads, and little is read beyond what can go on. */
+    static final RecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(64, 2048, 32 * 1024);
+    /** What may wait to be written before the other side is read no further, and when it is again. */
+    static final WriteBufferWaterMark WINDOW = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
     /**
      * Descriptors for files, selectors, the listener, discovery, and clients that are only refused. Clients
      * may use a third of all for requests, which half of the rest must not fall short of.
--- a/src/main/java/mapleroute/sidecar/Warmup.java
+++ b/src/main/java/mapleroute/sidecar/Warmup.java
@@ -73,7 +73,7 @@
                 @Override
                 protected void initChannel(SocketChannel accepted) {
                     accepted.pipeline().addLast(new HttpServerCodec(),
-                        new HttpObjectAggregator(EndpointPool.MOST_BODY), new Endpoint());
+                        new HttpObjectAggregator(Body.WHOLE), new Endpoint());
                 }
             })
             .bind(ephemeral());
@@ -119,7 +119,7 @@
                 @Override
                 protected void initChannel(SocketChannel fresh) {
                     fresh.pipeline().addLast(new HttpClientCodec(),
-                        new HttpObjectAggregator(EndpointPool.MOST_BODY), new Client());
+                        new HttpObjectAggregator(Body.WHOLE), new Client());
                 }
             })
             .connect(at);
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -1013,4 +1013,29 @@
         f.request(1);
         assertEquals(patience, f.host.last().timeoutMs(), 1);
     }
+
+    // ---- streamed answers ----
+
+    /** Guards against slow readers that keep others out: a call whose answer has begun is not at work. */
+    @Test
+    void streamedAnswersLeaveTheLimitToOthers() {
+        Fixture f = Fixture.of(1, 0, 0).list(Fixture.servers(2));
+        while (f.host.refused.isEmpty()) {
+            f.request(Fixture.REPEATABLE);
+        }
+        int most = f.host.sent.size();
+        Recorder.Sent first = f.host.sent.get(0);
+        for (Recorder.Sent sent : List.copyOf(f.host.sent)) {
+            f.balancer.onStreamStarted(f.now, sent.request(), 0);
+            f.balancer.onStreamStarted(f.now, sent.request(), 0);
+        }
+        for (int i = 0; i < most; i++) {
+            f.request(Fixture.REPEATABLE);
+        }
+        assertEquals(2 * most, f.host.sent.size());
+        f.finish(first, Outcome.RESET, 5);
+        f.request(Fixture.REPEATABLE);
+        assertEquals(2 * most, f.host.sent.size(), "the end of a stream makes no room a second time");
+        assertEquals(0, f.host.failed.size(), "it has had its answer");
+    }
 }
--- /dev/null
+++ b/src/test/java/mapleroute/sidecar/StreamTest.java
@@ -0,0 +1,315 @@
+package mapleroute.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Bodies that are too large to keep, and clients that are slow with theirs. */
+@Timeout(60)
+class StreamTest {
+
+    private static final int DEADLINE_MS = 8000;
+    private static final int SIZE = 1_000_000;
+
+    private Rig rig;
+
+    private Rig start(Fake... endpoints) throws IOException {
+        rig = new Rig(endpoints);
+        return rig.start();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        if (rig != null) {
+            rig.close();
+        }
+    }
+
+    /** Bytes whose order shows. */
+    private static String body(int size) {
+        StringBuilder body = new StringBuilder(size + 8);
+        while (body.length() < size) {
+            body.append(body.length()).append(' ');
+        }
+        return body.substring(0, size);
+    }
+
+    private static String chunked(String body, int chunk) {
+        StringBuilder chunks = new StringBuilder();
+        for (int i = 0; i < body.length(); i += chunk) {
+            String part = body.substring(i, Math.min(body.length(), i + chunk));
+            chunks.append(Integer.toHexString(part.length())).append(";x=y\r\n").append(part).append("\r\n");
+        }
+        return chunks + "0\r\nX-Trailer: t\r\n\r\n";
+    }
+
+    private String upload(String framing) {
+        return rig.request("order", DEADLINE_MS).replace("Content-Length: 5\r\n\r\nhello", framing);
+    }
+
+    // ---- answers ----
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aLargeAnswerGoesThroughUnchangedAndTheConnectionsStay(boolean chunks) throws Exception {
+        String large = body(SIZE);
+        start(new Fake((wire, request) -> wire.send("HTTP/1.1 200 OK\r\nContent-Type: text/x\r\n"
+            + (chunks ? "Transfer-Encoding: chunked\r\n\r\n" + chunked(large, 7000)
+                : "Content-Length: " + SIZE + "\r\n\r\n" + large))));
+        try (Wire client = rig.client()) {
+            for (int i = 0; i < 3; i++) {
+                Wire.Message answer = client.send(rig.request("read", DEADLINE_MS)).read();
+                assertEquals(200, answer.status());
+                assertEquals("text/x", answer.headers().get("content-type"));
+                assertEquals(large, answer.body());
+            }
+        }
+        assertEquals(1, rig.endpoints.get(0).connections.get());
+    }
+
+    /** Guards against an answer that a client of HTTP/1.0 cannot read. */
+    @Test
+    void anOldClientGetsNoChunks() throws Exception {
+        String large = body(SIZE);
+        start(new Fake((wire, request) -> wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + chunked(large, 7000))));
+        try (Wire client = rig.client()) {
+            client.send(rig.request("read", DEADLINE_MS).replace("HTTP/1.1", "HTTP/1.0"));
+            assertFalse(client.head().contains("chunked"));
+            assertEquals(large, client.rest());
+        }
+    }
+
+    /** Guards against a time limit that cuts off what the endpoint still gives. */
+    @Test
+    void noTimeRunsOnceALargeAnswerHasBegun() throws Exception {
+        String large = body(SIZE);
+        CountDownLatch late = new CountDownLatch(1);
+        start(new Fake((wire, request) -> {
+            if (request.headers().get("x-request-id").equals("r0")) {
+                wire.send("HTTP/1.1 200 OK\r\nContent-Length: " + SIZE + "\r\n\r\n" + large.substring(0, 9));
+                late.await();
+                wire.send(large.substring(9));
+            } else {
+                wire.awaitEnd();
+            }
+        }));
+        try (Wire client = rig.client()) {
+            client.send(rig.request("order", 300));
+            client.head();
+            assertEquals(large.substring(0, 9), client.text(9), "what is there is not held back");
+            assertFalse(rig.ask("order", 400).status() == 200, "a later deadline has passed");
+            late.countDown();
+            assertEquals(large.substring(9), client.text(SIZE - 9));
+        }
+    }
+
+    /** Guards against a cut answer that passes for whole. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 1000000", "Transfer-Encoding: chunked"})
+    void aLargeAnswerThatBreaksIsVisiblyNotWhole(String framing) throws Exception {
+        String part = body(200_000);
+        start(new Fake((wire, request) -> {
+            wire.send("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n"
+                + (framing.startsWith("C") ? part : "f4240\r\n" + part));
+            wire.socket.shutdownOutput();
+        }));
+        try (Wire client = rig.client()) {
+            client.send(rig.request("read", DEADLINE_MS));
+            assertThrows(IOException.class, () -> {
+                if (client.read().body().length() < SIZE) {
+                    throw new IOException("it ends before its length");
+                }
+            });
+        }
+        assertEquals(1, rig.attempts());
+    }
+
+    @Test
+    void aClientThatLeavesALargeAnswerEndsIt() throws Exception {
+        start(new Fake((wire, request) -> {
+            wire.send("HTTP/1.1 200 OK\r\nContent-Length: " + SIZE + "\r\n\r\nfirst");
+            wire.awaitEnd();
+        }));
+        try (Wire client = rig.client()) {
+            client.send(rig.request("read", DEADLINE_MS));
+            client.head();
+            assertEquals("first", client.text(5));
+        }
+        Rig.await("the endpoint is let go", () -> rig.endpoints.get(0).open.get() == 0);
+        Rig.await("it is told", () -> rig.logged().contains("r0 served"));
+    }
+
+    @Test
+    void answersBehindALargeOneWaitForTheirTurn() throws Exception {
+        String large = body(SIZE);
+        start(new Fake((wire, request) -> {
+            boolean first = request.headers().get("x-request-id").equals("r0");
+            Fake.answer(wire, 200, "", first ? large : body(300_000));
+        }));
+        try (Wire client = rig.client()) {
+            client.send(rig.request("read", DEADLINE_MS) + rig.request("read", DEADLINE_MS));
+            assertEquals(large, client.read().body());
+            assertEquals(body(300_000), client.read().body());
+        }
+    }
+
+    // ---- requests ----
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aLargeRequestGoesThroughUnchanged(boolean chunks) throws Exception {
+        String large = body(SIZE);
+        start(Fake.answering(200, "", "served"));
+        try (Wire client = rig.client()) {
+            for (int i = 0; i < 2; i++) {
+                client.send(upload(chunks ? "Transfer-Encoding: chunked\r\n\r\n" + chunked(large, 7000)
+                    : "Content-Length: " + SIZE + "\r\n\r\n" + large));
+                assertEquals(200, client.read().status());
+                assertEquals(large, rig.endpoints.get(0).requests.get(i).body());
+            }
+        }
+        assertEquals(1, rig.endpoints.get(0).connections.get());
+    }
+
+    /** A client may wait for the word before it sends its body. */
+    @ParameterizedTest
+    @ValueSource(ints = {5, SIZE})
+    void aClientThatAsksFirstIsToldToGoOn(int size) throws Exception {
+        start(Fake.answering(200, "", "served"));
+        try (Wire client = rig.client()) {
+            client.send(upload("Expect: 100-continue\r\nContent-Length: " + size + "\r\n\r\n"));
+            assertTrue(client.head().startsWith("HTTP/1.1 100 "));
+            client.send(body(size));
+            assertEquals(200, client.read().status());
+        }
+        assertEquals(body(size), rig.endpoints.get(0).requests.get(0).body());
+    }
+
+    /** Guards against a retry of half a body: once some of it is gone, the request is refused at once. */
+    @Test
+    void aLargeRequestIsSentAgainOnlyWhileAllOfItIsHeld() throws Exception {
+        String large = body(SIZE);
+        Fake gone = Fake.answering(200, "", "");
+        gone.close();
+        start(gone, Fake.answering(200, "", "served"));
+        for (int i = 0; i < 2; i++) {
+            try (Wire client = rig.client()) {
+                client.send(upload("Content-Length: " + SIZE + "\r\n\r\n" + large));
+                assertEquals(200, client.read().status());
+            }
+        }
+        rig.close();
+        Predicate<String> taken = id -> rig.logged().contains("request " + id);
+        start(new Fake((wire, request) -> { }) {
+            @Override
+            void serve(Wire wire) throws IOException {
+                wire.head();
+                wire.text(200_000);
+                wire.reset();
+            }
+        });
+        try (Wire client = rig.client()) {
+            client.send(upload("Content-Length: " + SIZE + "\r\n\r\n" + large));
+            assertEquals(503, client.read().status());
+            Rig.await("its way is told", () -> taken.test("r0 refused"));
+            assertEquals(1, rig.endpoints.get(0).connections.get());
+        }
+    }
+
+    /** Guards against limits on a body's total time: it is slow only if it does not come on. */
+    @Test
+    void aLargeRequestMayTakeItsTimeAndItsOwnRunsFromItsLastByte() throws Exception {
+        String large = body(SIZE);
+        start(new Fake((wire, request) -> {
+            if (request.body().length() == SIZE) {
+                Fake.answer(wire, 200, "", "served");
+            } else {
+                wire.awaitEnd();
+            }
+        }));
+        try (Wire client = rig.client()) {
+            String request = upload("Content-Length: " + SIZE + "\r\n\r\n").replace("8000", "300");
+            client.send(request + large.substring(0, SIZE / 2));
+            assertFalse(rig.ask("read", 400).status() == 200, "its time, had it run, has passed");
+            client.send(large.substring(SIZE / 2));
+            assertEquals(200, client.read().status());
+        }
+    }
+
+    @Test
+    void aLargeRequestThatStopsComingGetsAnErrorAndAClose() throws Exception {
+        start(Fake.answering(200, "", "served"));
+        try (Wire client = rig.client()) {
+            client.send(upload("Content-Length: " + SIZE + "\r\n\r\n" + body(100_000)));
+            assertEquals(408, client.read().status());
+            client.awaitEnd();
+        }
+        Rig.await("the endpoint is let go", () -> rig.endpoints.get(0).open.get() == 0);
+        assertEquals(0, rig.attempts());
+    }
+
+    @Test
+    void aTargetMayNameSchemeAndHost() throws Exception {
+        start(Fake.answering(200, "", "served"));
+        try (Wire client = rig.client()) {
+            client.send(rig.request("read", DEADLINE_MS).replace("GET /api", "GET http://app.svc/api"));
+            assertEquals(200, client.read().status());
+        }
+        assertEquals("GET /api?q=1 HTTP/1.1", rig.endpoints.get(0).requests.get(0).line());
+    }
+
+    // ---- the window ----
+
+    /** Guards against memory that grows with the body: a sink that is full stops the source. */
+    @Test
+    void aFullSinkStopsTheSource() {
+        List<Boolean> flow = new ArrayList<>();
+        List<String> parts = new ArrayList<>();
+        Body body = new Body(new Clock(), flow::add, Unpooled.buffer());
+        body.add(Unpooled.copiedBuffer(new byte[] {'a'}));
+        assertTrue(body.isHeld());
+        Body.Sink sink = new Body.Sink() {
+            @Override
+            public void part(ByteBuf data) {
+                parts.add(data.toString(java.nio.charset.StandardCharsets.US_ASCII));
+                data.release();
+                body.wants(false);
+            }
+
+            @Override
+            public void end() {
+                parts.add("end");
+            }
+
+            @Override
+            public void broken() {
+                parts.add("broken");
+            }
+        };
+        body.attach(sink);
+        assertTrue(body.isHeld(), "all of it could still go elsewhere");
+        body.detach(sink);
+        body.attach(sink);
+        body.add(Unpooled.copiedBuffer(new byte[] {'b'}));
+        assertFalse(body.isHeld());
+        body.wants(true);
+        body.end();
+        assertEquals(List.of("a", "a", "b", "end"), parts);
+        assertEquals(List.of(false, true, false, true, false, true), flow);
+    }
+}
