--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -523,23 +523,16 @@
 
     /** Sends a call to the lowest-ranked free slot it may use; false if there is none. */
     private boolean place(double now, Call call) {
-        Slot best = lowest(now, call, true);
-        if (best == null) {
-            best = lowest(now, call, false);
-        }
+        Slot picked = lowest(now, call, true);
+        Slot best = picked != null ? picked : lowest(now, call, false);
         if (best == null) {
             return false;
         }
-        take(now, call, best);
-        return true;
-    }
-
-    /** Sends a call on a slot, which joins the pool if it was a spare. */
-    private void take(double now, Call call, Slot slot) {
-        if (slot.target.spare == slot) {
-            adopt(now, slot);
+        if (best.target.spare == best) {
+            adopt(now, best);
         }
-        send(now, call, slot);
+        send(now, call, best);
+        return true;
     }
 
     /**
@@ -1088,38 +1081,28 @@
         learnUsable();
         connectFailing *= CONNECT_FADE;
         report(now);
-        for (int i = paused.size() - 1; i >= 0; i--) {
-            if (paused.get(i).pausedUntil <= now) {
-                offer(now, paused.remove(i));
-            }
-        }
-        for (int i = cold.size() - 1; i >= 0; i--) {
-            Target target = cold.get(i);
-            if (warmth(now, target) >= 1) {
-                cold.remove(i);
-            }
+        List<Target> rested = paused.stream().filter(target -> target.pausedUntil <= now).toList();
+        paused.removeAll(rested);
+        rested.forEach(target -> offer(now, target));
+        cold.forEach(target -> {
             reprice(now, target, false);
             offer(now, target);
-        }
+        });
+        cold.removeIf(target -> warmth(now, target) >= 1);
         double size = Math.min(CEILING, Math.max(FLOOR, Math.ceil(peak * HEADROOM)));
         peak = Math.max(inFlight, peak * PEAK_DECAY);
         while (pool.size() < size && firstSpare() != null) {
             adopt(now, firstSpare());
         }
-        while (true) {
-            Slot worst = worstFree();
-            if (worst == null) {
+        for (Slot worst = worstFree(); worst != null; worst = worstFree()) {
+            boolean surplus = pool.size() > size;
+            if (!surplus && (firstSpare() == null || order(firstSpare(), worst) >= 0)) {
                 return;
             }
-            if (pool.size() > size) {
-                drop(worst);
-                offer(now, worst.target);
-            } else if (firstSpare() != null && order(firstSpare(), worst) < 0) {
-                drop(worst);
-                offer(now, worst.target);
+            drop(worst);
+            offer(now, worst.target);
+            if (!surplus) {
                 adopt(now, firstSpare());
-            } else {
-                return;
             }
         }
     }
