Give a nodo that is back from maintenance the next call

There a sidecar has a call or two at once, and the ranks of a cold server keep each sidecar but a few from it until it is warm (Decide.gentle, rank): 8.9 s, and 5 s are free. Ruled out: calls that were refused or late (84 calls, none). Design: a server is owed one call at its return; its slot is first until it has had it, cold or not. Road not taken: no cold time after maintenance, which would send it all its usual calls at once.

--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -184,6 +184,8 @@
         /** After repeated failure: one slot at a time until it has answered often enough. */
         boolean onTrial;
         int trialAnswers;
+        /** Back from maintenance, where it was in use: the next call that may go there does. */
+        boolean owed;
         /** What put it there last was a connect that failed. */
         boolean unreachable;
         double slowness = 1;
@@ -577,7 +579,7 @@
      * where servers come back one by one: they wait until the memory fades, some seconds.
      */
     private double orderRank(Slot slot) {
-        return slot.rank + (isFar(slot.target) ? spill : 0)
+        return slot.target.owed ? slot.rank : slot.rank + (isFar(slot.target) ? spill : 0)
             + (slot.connected ? 0 : connectFailing * CONNECT_ROUNDS * settings.balancers());
     }
 
@@ -595,7 +597,7 @@
      */
     private boolean gentle(double now, Slot slot) {
         double warmth = warmth(now, slot.target);
-        return warmth >= 1 || formula(slot) < warmth * Math.max(firstCalls(),
+        return warmth >= 1 || slot.target.owed || formula(slot) < warmth * Math.max(firstCalls(),
             settings.balancers() * relativeWeight(slot.target) / Math.max(1, ready));
     }
 
@@ -623,7 +625,7 @@
             return false;
         }
         // A call that cannot be tried again must not be the one to find out whether a server is well.
-        boolean risky = target.onTrial && call.kind.effect() == Effect.ONCE && anyRepeatable;
+        boolean risky = (target.onTrial || target.owed) && call.kind.effect() == Effect.ONCE && anyRepeatable;
         return !picky || !risky && call.attempts.stream().noneMatch(a -> a.slot().target == target);
     }
 
@@ -652,6 +654,10 @@
         call.attempts.add(attempt);
         call.out++;
         slot.busy = true;
+        if (slot.target.owed) {
+            slot.target.owed = false;
+            reprice(now, slot.target, true);
+        }
         slot.target.inFlight++;
         inFlight++;
         peak = Math.max(peak, inFlight);
@@ -971,10 +977,10 @@
 
     /**
      * The rank a slot is used by: the formula's, times the server's cost. That hardly moves the lowest
-     * ranks, so a cost above the usual also moves the server back as a whole.
+     * ranks, so a cost above the usual also moves the server back as a whole. What is owed a call is first.
      */
     private double rank(Slot slot) {
-        return (formula(slot) + 0.5) * slot.target.cost
+        return slot.target.owed ? -1 : (formula(slot) + 0.5) * slot.target.cost
             + Math.max(0, slot.target.cost - 1) * settings.balancers() * STEP_BACK;
     }
 
@@ -1191,8 +1197,10 @@
         boolean before = maintenance.getOrDefault(server, 0.0) == Double.POSITIVE_INFINITY;
         if (out != before) {
             maintenance.put(server, out ? Double.POSITIVE_INFINITY : now);
-            if (targets.containsKey(server)) {
-                update(now, targets.get(server).told);
+            Target target = targets.get(server);
+            if (target != null) {
+                target.owed = !out;
+                update(now, target.told);
                 relist(now);
             }
         }
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -975,6 +975,25 @@
         assertTrue(back > 0 && back < warm, back + " to the cold one, " + warm + " to the warm one");
     }
 
+    /** Guards against a server that stands idle after its maintenance, as few calls come this far down. */
+    @Test
+    void aServerBackFromMaintenanceGetsTheNextCall() {
+        for (int own = 0; own < 9; own++) {
+            Fixture f = Fixture.of(9, own, 0).list(Fixture.servers(9));
+            for (int server = 0; server < 9; server++) {
+                String id = "s" + server;
+                f.balancer.onMaintenance(f.now, id, true);
+                f.now += 3000;
+                f.balancer.onMaintenance(f.now, id, false);
+                f.now += 200;
+                f.request(Fixture.REPEATABLE);
+                assertEquals(id, f.host.last().server());
+                f.finish(f.host.last(), Outcome.OK, 50);
+                f.now += 20_000;
+            }
+        }
+    }
+
     // ---- settings that change ----
 
     /** Guards against rules that change under a request: what is in hand keeps its class and its attempts. */
