Take an answer that its connection's end ends, if it says so and ends in order

A probe that logged what was there at the loss showed heads with 'Connection: close', no length and no chunks, a body of 510 to 55,727 bytes and no error on the connection: a form of HTTP/1.1. The attempt was ended by the close of the channel (EndpointPool.Connection.open), before the decoder could say that all had come; where it could, EndpointPool.take refused such an answer. Each put a server on trial and took the limit down with it. Ruled out: resets by nodos (the probe saw no error), unreadable parts (none logged). Now the attempt ends after the decoder's last word; a reset, a head that does not say it, or a close by this side still make it a failed attempt.

--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -282,6 +282,7 @@
         private ByteBuf body;
         /** The answer's body, where that is passed on as it comes. */
         private Body download;
+        /** It ends by an error, or by this side's will: what has come is not all. */
         private boolean failed;
 
         Connection(Endpoint endpoint) {
@@ -295,10 +296,7 @@
             open++;
             ChannelFuture connecting = bootstrap.clone().handler(this).connect(endpoint.address);
             channel = connecting.channel();
-            channel.closeFuture().addListener(closed -> {
-                open--;
-                lost();
-            });
+            channel.closeFuture().addListener(closed -> open--);
             connecting.addListener(connected -> {
                 if (!connected.isSuccess()) {
                     ReferenceCountUtil.release(first.request);
@@ -377,6 +375,7 @@
         }
 
         void close() {
+            failed = true;
             endpoint.idle.remove(this);
             idle.remove(this);
             channel.close();
@@ -404,6 +403,12 @@
             head = null;
         }
 
+        /** Comes after the last of what was read, which may be an answer that the connection's end ends. */
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            lost();
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             try {
@@ -438,6 +443,7 @@
         private void take(HttpContent content) {
             boolean last = content instanceof LastHttpContent;
             if (content.decoderResult().isFailure() || last && failed) {
+                complaints.log("answer cut off", content.decoderResult());
                 close();
                 return;
             }
@@ -453,8 +459,9 @@
                 takeLarge(status);
             } else if (status < 200) {
                 dropBody();
-            } else if (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
-                // A body that only the connection's end ends may be cut short: it counts as no answer.
+            } else if (HttpUtil.isKeepAlive(head) && !HttpUtil.isContentLengthSet(head)
+                    && !HttpUtil.isTransferEncodingChunked(head)) {
+                // Only an answer that says so may be ended by its connection's end.
                 complaints.log("answer without an end of its own", status);
                 close();
             } else {
--- a/src/test/java/mapleroute/sidecar/StreamTest.java
+++ b/src/test/java/mapleroute/sidecar/StreamTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Bodies that are too large to keep, and clients that are slow with theirs. */
@@ -139,6 +140,37 @@
         assertEquals(1, rig.attempts());
     }
 
+    /** An answer may end with its connection, if it says so and the connection ends in order. */
+    @ParameterizedTest
+    @CsvSource({"6,true,true", "1000000,true,true", "6,false,true", "6,true,false", "1000000,true,false"})
+    void anAnswerMayEndWithItsConnection(int size, boolean says, boolean inOrder) throws Exception {
+        String whole = body(size);
+        CountDownLatch arrived = new CountDownLatch(1);
+        start(new Fake((wire, request) -> {
+            wire.send("HTTP/1.1 200 OK\r\n" + (says ? "Connection: close\r\n" : "") + "\r\n" + whole);
+            if (inOrder) {
+                wire.socket.shutdownOutput();
+            } else if (size > Body.WHOLE) {
+                arrived.await();
+                wire.reset();
+            } else {
+                wire.reset();
+            }
+        }));
+        try (Wire client = rig.client()) {
+            client.send(rig.request("order", DEADLINE_MS));
+            if (!inOrder && size > Body.WHOLE) {
+                client.head();
+                arrived.countDown();
+                assertThrows(IOException.class, client::chunks);
+            } else {
+                Wire.Message answer = client.read();
+                assertEquals(says && inOrder ? 200 : 502, answer.status());
+                assertEquals(says && inOrder, answer.body().equals(whole));
+            }
+        }
+    }
+
     @Test
     void aClientThatLeavesALargeAnswerEndsIt() throws Exception {
         start(new Fake((wire, request) -> {
@@ -224,7 +256,7 @@
             }
         });
         try (Wire client = rig.client()) {
-            client.send(upload("Content-Length: " + SIZE + "\r\n\r\n" + large));
+            client.send(upload("Content-Length: " + SIZE + "\r\n\r\n" + large.substring(0, SIZE / 2)));
             assertEquals(503, client.read().status());
             Rig.await("its way is told", () -> taken.test("r0 refused"));
             assertEquals(1, rig.endpoints.get(0).connections.get());
--- a/src/test/java/mapleroute/sidecar/Wire.java
+++ b/src/test/java/mapleroute/sidecar/Wire.java
@@ -63,7 +63,7 @@
         return new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
     }
 
-    private String chunks() throws IOException {
+    String chunks() throws IOException {
         StringBuilder body = new StringBuilder();
         for (int size = size(); size > 0; size = size()) {
             String chunk = text(size);
