Bound what bodies that are still to come may hold, and refuse beyond it

An eighth of the memory limit is the bound now; beyond it a request is refused, as it has not run. Road not taken: to read no further, as peers that never end would then hold the bound for good. The test has no refusal without the bound.

--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -82,12 +82,16 @@
     private final Complaints complaints;
     private final Exchange exchange;
     private int most;
+    /** The bytes of bodies that are not whole yet; what would be more is refused, as it has not run. */
+    private final int mostHeld;
     private List<RequestClass> kinds;
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Those with no request in hand, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
+    /** What has come of bodies that are not whole yet. */
+    private int heldInAll;
     private Channel listener;
     private boolean accepting;
     /** Other processes listen on the same socket. */
@@ -102,12 +106,13 @@
     private List<Future<?>> steps = List.of();
 
     Frontend(EventLoop loop, Clock clock, Complaints complaints, Exchange exchange, Settings settings,
-            int most) {
+            int most, int mostHeld) {
         this.loop = loop;
         this.clock = clock;
         this.complaints = complaints;
         this.exchange = exchange;
         this.most = most;
+        this.mostHeld = mostHeld;
         use(settings);
     }
 
@@ -344,8 +349,8 @@
         }
 
         private void forgetIncoming() {
+            letGoHeld();
             head = null;
-            held = null;
             upload = null;
             uploading = null;
         }
@@ -375,6 +380,11 @@
             }
         }
 
+        private void letGoHeld() {
+            heldInAll -= held == null ? 0 : held.readableBytes();
+            held = null;
+        }
+
         private void begin(HttpRequest request) {
             if (request.decoderResult().isFailure()) {
                 stopTaking(HttpResponseStatus.BAD_REQUEST, "malformed request");
@@ -417,14 +427,26 @@
                     whole.end();
                 }
             } else {
+                heldInAll += data.readableBytes();
                 held.writeBytes(data);
-                if (last || held.readableBytes() > Body.WHOLE) {
+                if (heldInAll > mostHeld && !last) {
+                    refuseIncoming();
+                } else if (last || held.readableBytes() > Body.WHOLE) {
                     took(last);
                 }
             }
             mindReading();
         }
 
+        private void refuseIncoming() {
+            complaints.log("a request is refused", "those still to come hold " + heldInAll + " bytes");
+            uploading = new Reply(this);
+            uploading.keepAlive = HttpUtil.isKeepAlive(head);
+            replies.add(uploading);
+            idle.remove(this);
+            uploading.refused(OVERFLOW_COOL_DOWN_MS);
+        }
+
         /** The request is there, or so much of it that the rest is passed on as it comes. */
         private void took(boolean whole) {
             HttpRequest request = head;
@@ -438,7 +460,9 @@
             if (whole) {
                 stopClock();
             } else {
-                body = new Body(clock, wanted -> mindReading(), held);
+                ByteBuf first = held;
+                letGoHeld();
+                body = new Body(clock, wanted -> mindReading(), first);
                 upload = body;
                 uploading = reply;
             }
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -39,6 +39,11 @@
 
     /** One small arena: messages are of a few hundred bytes, and memory is tight. */
     static final ByteBufAllocator BUFFERS = new PooledByteBufAllocator(true, 1, 1, 8192, 4, 0, 0, false);
+    /**
+     * Of each MB, what bodies that are still to come may take: an eighth. The heap is less than half of
+     * all, and calls in hand, 256 at most, may need two thirds of that for their bodies and answers.
+     */
+    private static final int HELD_PER_MB = 128 * 1024;
     /** What is read at once: a large body comes in few reads, and little is read beyond what can go on. */
     static final RecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(64, 2048, 32 * 1024);
     /** What may wait to be written before the other side is read no further, and when it is again. */
@@ -157,7 +162,8 @@
         }, config.known().version());
         kept = inherited.folder() == null ? null : new MaintenanceFiles(inherited.folder());
         restoreMaintenance();
-        frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half);
+        frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half,
+            config.memoryMb() * HELD_PER_MB);
         management = new ManagementServer(loop, complaints, new Operators());
     }
 
--- a/src/main/java/mapleroute/sidecar/SidecarConfig.java
+++ b/src/main/java/mapleroute/sidecar/SidecarConfig.java
@@ -22,10 +22,11 @@
  * @param management where operators connect, or null where they have no door
  * @param told the whole object as the file has it
  * @param sockets the descriptors that the process may hold
+ * @param memoryMb the memory that the process may take
  * @param idleCloseMs after how long at most an endpoint closes an idle connection
  */
 public record SidecarConfig(InetSocketAddress listen, InetSocketAddress management,
-        InetSocketAddress discovery, long seed, int sockets, double idleCloseMs,
+        InetSocketAddress discovery, long seed, int sockets, int memoryMb, double idleCloseMs,
         ServerList.Names names, ServerList known, Settings settings, Map<?, ?> told) {
 
     /** Reads the file; anything missing or bad is an exception whose message names field and value. */
@@ -78,11 +79,13 @@
         positive("settings.limits.try-limit", limits.get("try-limit"));
         ServerList.Names names = new ServerList.Names(words("settings.azs", settings.get("azs")),
             words("settings.models", settings.get("models")));
+        Map<String, Object> machine = object("limits", config.get("limits"));
         return new SidecarConfig(ServerList.address("listen", config.get("listen")),
             config.get("management") == null ? null
                 : ServerList.address("management", config.get("management")),
             ServerList.address("discovery", config.get("discovery")), seed(config.get("seed")),
-            (int) positive("limits.sockets", object("limits", config.get("limits")).get("sockets")),
+            (int) positive("limits.sockets", machine.get("sockets")),
+            (int) positive("limits.memory_mb", machine.get("memory_mb")),
             positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
             ServerList.of(object("known", config.get("known")), names), SettingsReader.settings(settings),
             config);
--- a/src/main/java/mapleroute/sidecar/Warmup.java
+++ b/src/main/java/mapleroute/sidecar/Warmup.java
@@ -97,10 +97,11 @@
         ServerList list = new ServerList(0, true, List.of(new ServerList.Entry(
             new Server("warm-up", config.settings().ownZone(), 0, 0, 0, State.READY, 1), at)));
         SidecarConfig own = new SidecarConfig(ephemeral(), null, at, config.seed(), config.sockets(),
-            config.idleCloseMs(), config.names(), list, config.settings(), config.told());
+            config.memoryMb(), config.idleCloseMs(), config.names(), list, config.settings(), config.told());
         pool = new EndpointPool(loop, clock, silent, MOST_MS, config.idleCloseMs(), config.sockets());
         Exchange exchange = new Exchange(loop, clock, silent, pool, () -> { }, own);
-        frontend = new Frontend(loop, clock, silent, exchange, config.settings(), config.sockets());
+        frontend = new Frontend(loop, clock, silent, exchange, config.settings(), config.sockets(),
+            Integer.MAX_VALUE);
         ChannelFuture bound = frontend.listen(own.listen());
         bound.addListener(up -> {
             if (up.isSuccess() && !over) {
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -27,6 +27,7 @@
     int sockets = 1024;
     int aimMs = 9000;
     int deadlineMs = 9000;
+    int memoryMb = 192;
     Path folder;
     private int requests;
 
@@ -55,7 +56,7 @@
         return """
             {"name":"n0","listen":"127.0.0.1:0","management":"127.0.0.1:0",
             "discovery":"%s","seed":"8c1f30d27a5be964",
-            "limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"known":%s,
+            "limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"known":%s,
             "settings":{"azs":["a"],"models":["m"],"replicas-of-me":1,"slot-no":0,"tier":0,"zone":0,
             "membership-mode":"on_request","classes":[
             {"name":"read","effect":"repeatable","group":"all","hard-limit-ms":%d,"slo-ms":%d,"worth":1},
@@ -65,7 +66,7 @@
             "limits":{"cancel":true,"dial-timeout-ms":2000,"idle-close-ms":%d,"max-retry-after-ms":2000,
             "parallel-tries":true,"retry-after":false,"try-limit":3},
             "rules":{"cold-share":0.5,"cold-ms":1000,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
-            "ask-within-ms":%d}}}""".formatted(discovery.address(), sockets, list(1, true,
+            "ask-within-ms":%d}}}""".formatted(discovery.address(), memoryMb, sockets, list(1, true,
                 lines.toArray(String[]::new)), deadlineMs, aimMs, deadlineMs, aimMs, deadlineMs, aimMs,
                 idleCloseMs, askWithinMs);
     }
--- a/src/test/java/mapleroute/sidecar/StreamTest.java
+++ b/src/test/java/mapleroute/sidecar/StreamTest.java
@@ -295,6 +295,27 @@
         assertEquals(0, rig.attempts());
     }
 
+    /** Guards against peers that fill memory, each with a little less than is passed on. */
+    @Test
+    void bodiesThatNeverEndAreRefusedBeforeTheyFillMemory() throws Exception {
+        rig = new Rig(Fake.answering(200, "", "served"));
+        rig.memoryMb = 2;
+        rig.start();
+        String part = body(Body.WHOLE - 100);
+        List<Wire> peers = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            peers.add(rig.client().send(upload("Content-Length: " + Body.WHOLE + "\r\n\r\n" + part)));
+        }
+        int refused = 0;
+        for (Wire peer : peers) {
+            refused += peer.read().status() == 503 ? 1 : 0;
+            peer.close();
+        }
+        assertTrue(refused > 0, "four are held, an eighth of 2 MB, and the others are refused");
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        assertEquals(1, rig.attempts());
+    }
+
     @Test
     void aTargetMayNameSchemeAndHost() throws Exception {
         start(Fake.answering(200, "", "served"));
