--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -184,6 +184,8 @@
         /** After repeated failure: one slot at a time until it has answered often enough. */
         boolean onTrial;
         int trialAnswers;
+        /** Back from maintenance, where it was in use: the next call that may go there does. */
+        boolean owed;
         /** What put it there last was a connect that failed. */
         boolean unreachable;
         double slowness = 1;
@@ -523,23 +525,16 @@
 
     /** Sends a call to the lowest-ranked free slot it may use; false if there is none. */
     private boolean place(double now, Call call) {
-        Slot best = lowest(now, call, true);
-        if (best == null) {
-            best = lowest(now, call, false);
-        }
+        Slot picked = lowest(now, call, true);
+        Slot best = picked != null ? picked : lowest(now, call, false);
         if (best == null) {
             return false;
         }
-        take(now, call, best);
-        return true;
-    }
-
-    /** Sends a call on a slot, which joins the pool if it was a spare. */
-    private void take(double now, Call call, Slot slot) {
-        if (slot.target.spare == slot) {
-            adopt(now, slot);
+        if (best.target.spare == best) {
+            adopt(now, best);
         }
-        send(now, call, slot);
+        send(now, call, best);
+        return true;
     }
 
     /**
@@ -584,7 +579,7 @@
      * where servers come back one by one: they wait until the memory fades, some seconds.
      */
     private double orderRank(Slot slot) {
-        return slot.rank + (isFar(slot.target) ? spill : 0)
+        return slot.target.owed ? slot.rank : slot.rank + (isFar(slot.target) ? spill : 0)
             + (slot.connected ? 0 : connectFailing * CONNECT_ROUNDS * settings.balancers());
     }
 
@@ -602,7 +597,7 @@
      */
     private boolean gentle(double now, Slot slot) {
         double warmth = warmth(now, slot.target);
-        return warmth >= 1 || formula(slot) < warmth * Math.max(firstCalls(),
+        return warmth >= 1 || slot.target.owed || formula(slot) < warmth * Math.max(firstCalls(),
             settings.balancers() * relativeWeight(slot.target) / Math.max(1, ready));
     }
 
@@ -630,7 +625,7 @@
             return false;
         }
         // A call that cannot be tried again must not be the one to find out whether a server is well.
-        boolean risky = target.onTrial && call.kind.effect() == Effect.ONCE && anyRepeatable;
+        boolean risky = (target.onTrial || target.owed) && call.kind.effect() == Effect.ONCE && anyRepeatable;
         return !picky || !risky && call.attempts.stream().noneMatch(a -> a.slot().target == target);
     }
 
@@ -659,6 +654,10 @@
         call.attempts.add(attempt);
         call.out++;
         slot.busy = true;
+        if (slot.target.owed) {
+            slot.target.owed = false;
+            reprice(now, slot.target, true);
+        }
         slot.target.inFlight++;
         inFlight++;
         peak = Math.max(peak, inFlight);
@@ -978,10 +977,10 @@
 
     /**
      * The rank a slot is used by: the formula's, times the server's cost. That hardly moves the lowest
-     * ranks, so a cost above the usual also moves the server back as a whole.
+     * ranks, so a cost above the usual also moves the server back as a whole. What is owed a call is first.
      */
     private double rank(Slot slot) {
-        return (formula(slot) + 0.5) * slot.target.cost
+        return slot.target.owed ? -1 : (formula(slot) + 0.5) * slot.target.cost
             + Math.max(0, slot.target.cost - 1) * settings.balancers() * STEP_BACK;
     }
 
@@ -1088,38 +1087,28 @@
         learnUsable();
         connectFailing *= CONNECT_FADE;
         report(now);
-        for (int i = paused.size() - 1; i >= 0; i--) {
-            if (paused.get(i).pausedUntil <= now) {
-                offer(now, paused.remove(i));
-            }
-        }
-        for (int i = cold.size() - 1; i >= 0; i--) {
-            Target target = cold.get(i);
-            if (warmth(now, target) >= 1) {
-                cold.remove(i);
-            }
+        List<Target> rested = paused.stream().filter(target -> target.pausedUntil <= now).toList();
+        paused.removeAll(rested);
+        rested.forEach(target -> offer(now, target));
+        cold.forEach(target -> {
             reprice(now, target, false);
             offer(now, target);
-        }
+        });
+        cold.removeIf(target -> warmth(now, target) >= 1);
         double size = Math.min(CEILING, Math.max(FLOOR, Math.ceil(peak * HEADROOM)));
         peak = Math.max(inFlight, peak * PEAK_DECAY);
         while (pool.size() < size && firstSpare() != null) {
             adopt(now, firstSpare());
         }
-        while (true) {
-            Slot worst = worstFree();
-            if (worst == null) {
+        for (Slot worst = worstFree(); worst != null; worst = worstFree()) {
+            boolean surplus = pool.size() > size;
+            if (!surplus && (firstSpare() == null || order(firstSpare(), worst) >= 0)) {
                 return;
             }
-            if (pool.size() > size) {
-                drop(worst);
-                offer(now, worst.target);
-            } else if (firstSpare() != null && order(firstSpare(), worst) < 0) {
-                drop(worst);
-                offer(now, worst.target);
+            drop(worst);
+            offer(now, worst.target);
+            if (!surplus) {
                 adopt(now, firstSpare());
-            } else {
-                return;
             }
         }
     }
@@ -1208,8 +1197,10 @@
         boolean before = maintenance.getOrDefault(server, 0.0) == Double.POSITIVE_INFINITY;
         if (out != before) {
             maintenance.put(server, out ? Double.POSITIVE_INFINITY : now);
-            if (targets.containsKey(server)) {
-                update(now, targets.get(server).told);
+            Target target = targets.get(server);
+            if (target != null) {
+                target.owed = !out;
+                update(now, target.told);
                 relist(now);
             }
         }
