--- a/src/main/java/mapleroute/Decide.java
+++ b/src/main/java/mapleroute/Decide.java
@@ -104,6 +104,8 @@
     /** Weight of a new outcome in the pressure, and what a crowded pool's limit is cut to. */
     private static final double PRESSURE_GAIN = 1.0 / 16;
     private static final double CUT = 0.85;
+    /** The limit grows so much faster while answers take less than half of what is comfortable. */
+    private static final double AMPLE_GROWTH = 2;
     /** Calls a server, over all balancers, that the limit stays above: some must show when all is well. */
     private static final double LEAST_CALLS = 0.5;
     /** Calls at work at a server, over all balancers, that the limit starts from: two a core. */
@@ -490,8 +492,9 @@
             lastCut = now;
             pressure = comfort() / 2;
         } else if (finished.outcome() == Outcome.OK && inFlight * 2 >= limit * usable) {
-            boolean quick = limit < quickUntil && pressure < comfort() / 2;
-            double step = (quick ? 1 : 1 / (limit * usable)) * growth() / usable;
+            boolean ample = pressure < comfort() / 2;
+            double step = (ample && limit < quickUntil ? 1 : (ample ? AMPLE_GROWTH : 1) / (limit * usable))
+                * growth() / usable;
             limit = Math.min(CEILING, limit + Math.min(limit, step));
         }
     }
--- a/src/test/java/mapleroute/DecideTest.java
+++ b/src/test/java/mapleroute/DecideTest.java
@@ -1033,6 +1033,27 @@
         assertEquals(patience, f.host.last().timeoutMs(), 1);
     }
 
+    /** Guards against calls turned away for seconds while answers show that there is room for them. */
+    @Test
+    void theLimitGrowsFasterWhileAnswersAreQuick() {
+        Fixture f = Fixture.of(1, 0, 0).list(Fixture.servers(2));
+        int first = 0;
+        int last = 0;
+        for (int round = 0; round <= 10; round++) {
+            int before = f.host.sent.size();
+            int refused = f.host.refused.size();
+            while (f.host.refused.size() == refused) {
+                f.request(Fixture.REPEATABLE);
+            }
+            List<Recorder.Sent> out = List.copyOf(f.host.sent.subList(before, f.host.sent.size()));
+            first = round == 0 ? out.size() : first;
+            last = out.size();
+            f.now += 50;
+            out.forEach(sent -> f.finish(sent, Outcome.OK, 50));
+        }
+        assertTrue(last >= first + 9, "from " + first + " to " + last + " in ten rounds of answers");
+    }
+
     // ---- streamed answers ----
 
     /** Guards against slow readers that keep others out: a call whose answer has begun is not at work. */
