Begin a large answer once 8 KiB of it are there, as a false length is spoilt

A probe of heads found none among the answers that came whole (11,015); so these were begun: a length above 64 KiB on a body of the usual size, which EndpointPool.takeLarge took at its word. It is begun once 8 KiB are there; else the attempt ends as a reset and is made again. Also: what follows an unreadable part is not read while the connection closes. Road not taken: 64 KiB, which at 64 kB a second would hold the first bytes back for 1 s.

--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -45,6 +45,12 @@
     /** An idle connection is closed at this part of the time after which the endpoint may close it. */
     private static final double IDLE_SHARE = 0.5;
     private static final int SWEEPS = 10;
+    /**
+     * A large answer is passed on once so much of it is there: what says that it is large but is of the usual
+     * size is spoilt, and breaks off before. At the slowest pace that peers may have that is an eighth of a
+     * second.
+     */
+    private static final int PROOF = 8 * 1024;
 
     /** What comes of an attempt; nothing is told after {@link Attempt#giveUp}. */
     interface Ending {
@@ -412,8 +418,8 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             try {
-                if (attempt == null) {
-                    // Nobody has asked for this: the connection is out of step.
+                if (attempt == null || failed) {
+                    // Nobody has asked for this, or what came before cannot be read: it is out of step.
                     close();
                     return;
                 }
@@ -472,7 +478,7 @@
         private void takeLarge(int status) {
             long length = HttpUtil.getContentLength(head, -1L);
             boolean large = body != null && (body.readableBytes() > Body.WHOLE
-                || length > Body.WHOLE && body.isReadable());
+                || length > Body.WHOLE && body.readableBytes() > PROOF);
             if (large && status == 200) {
                 download = new Body(clock, wanted -> channel.config().setAutoRead(wanted), body);
                 body = null;
