Take a length beyond 64 MB for a false one, in answers and in requests

EndpointPool.channelRead asked only whether the length could be read. Bodies reach 32 MB; twice that is the bound, for a request's length too (413 by its head). Road not taken: to hold more before an answer is begun, as spoilt bodies are as large as they like.

--- a/src/main/java/mapleroute/sidecar/Body.java
+++ b/src/main/java/mapleroute/sidecar/Body.java
@@ -13,6 +13,9 @@
     /** Bodies up to this size are whole before they are passed on. */
     static final int WHOLE = 64 * 1024;
 
+    /** A length beyond this is a false one: bodies reach 32 MB. */
+    static final long MOST = 64 * 1024 * 1024;
+
     /** Where it comes from. */
     interface Source {
         /** Whether to go on reading. */
--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -45,12 +45,6 @@
     /** An idle connection is closed at this part of the time after which the endpoint may close it. */
     private static final double IDLE_SHARE = 0.5;
     private static final int SWEEPS = 10;
-    /**
-     * A large answer is passed on once so much of it is there: what says that it is large but is of the usual
-     * size is spoilt, and breaks off before. At the slowest pace that peers may have that is an eighth of a
-     * second.
-     */
-    private static final int PROOF = 8 * 1024;
 
     /** What comes of an attempt; nothing is told after {@link Attempt#giveUp}. */
     interface Ending {
@@ -426,7 +420,8 @@
                 if (message instanceof HttpResponse response) {
                     head = response;
                     body = Unpooled.buffer();
-                    if (response.decoderResult().isFailure() || isCoded(response)) {
+                    if (response.decoderResult().isFailure() || isCoded(response)
+                            || HttpUtil.getContentLength(response, 0L) > Body.MOST) {
                         complaints.log("unreadable answer", response.decoderResult());
                         close();
                         return;
@@ -478,7 +473,7 @@
         private void takeLarge(int status) {
             long length = HttpUtil.getContentLength(head, -1L);
             boolean large = body != null && (body.readableBytes() > Body.WHOLE
-                || length > Body.WHOLE && body.readableBytes() > PROOF);
+                || length > Body.WHOLE && body.isReadable());
             if (large && status == 200) {
                 download = new Body(clock, wanted -> channel.config().setAutoRead(wanted), body);
                 body = null;
--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -392,6 +392,10 @@
             }
             // Its first bytes may have come with the last ones of the request before.
             awaitRequest();
+            if (HttpUtil.getContentLength(request, 0L) > Body.MOST) {
+                stopTaking(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too large");
+                return;
+            }
             head = request;
             held = Unpooled.buffer(0);
             goAheadDue = HttpUtil.is100ContinueExpected(request);
