--- a/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -412,15 +412,16 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             try {
-                if (attempt == null) {
-                    // Nobody has asked for this: the connection is out of step.
+                if (attempt == null || failed) {
+                    // Nobody has asked for this, or what came before cannot be read: it is out of step.
                     close();
                     return;
                 }
                 if (message instanceof HttpResponse response) {
                     head = response;
                     body = Unpooled.buffer();
-                    if (response.decoderResult().isFailure() || isCoded(response)) {
+                    if (response.decoderResult().isFailure() || isCoded(response)
+                            || HttpUtil.getContentLength(response, 0L) > Body.MOST) {
                         complaints.log("unreadable answer", response.decoderResult());
                         close();
                         return;
