Let a new process accept also when clients were sent away while it started

Found by reading: standby during the start of a process that shares its listener kept acceptIfReady from accepting, and active did not ask again; the process then served only after discovery's next answer, up to 4 s later, or never where it fell silent. Sending clients away and accepting are told apart now: while clients are sent away the process accepts and says that it is not ready. The test waits in vain without it.

--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -198,7 +198,7 @@
 
     /** A process that shares its listener accepts once it can serve: until then another one does. */
     private void acceptIfReady() {
-        if (shared && !frontend.isDraining() && informed && frontend.isWarm() && exchange.knowsEndpoints()) {
+        if (shared && !frontend.isEnding() && informed && frontend.isWarm() && exchange.knowsEndpoints()) {
             frontend.accept();
         }
     }
--- a/src/test/java/mapleroute/sidecar/ManagementTest.java
+++ b/src/test/java/mapleroute/sidecar/ManagementTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -153,6 +155,36 @@
         }
     }
 
+    /** Guards against a new process that never accepts, as it was sent clients away from while it started. */
+    @Test
+    void aDrainDuringTheStartEndsToo() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        rig = new Rig(good());
+        rig.listener = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
+        rig.discovery.script = (wire, request) -> {
+            if (rig.discovery.requests.size() == 1) {
+                answer.await();
+                Fake.answer(wire, 200, "", Rig.list(1, false));
+            } else {
+                wire.awaitEnd();
+            }
+        };
+        rig.start();
+        assertTrue(rig.call("status\n").startsWith("error starting"));
+        assertEquals("done\n", rig.call("standby\n"));
+        answer.countDown();
+        Rig.await("it could serve", () -> rig.logged().contains("warm after")
+            && rig.logged().contains("discovery told"));
+        try (Wire silent = Wire.to(rig.sidecar.managementAddress())) {
+            // By the time that it is let go, discovery has had all the time that a start gives it.
+            assertTrue(silent.rest().startsWith("error no whole call"));
+        }
+        assertTrue(rig.call("status\n").startsWith("error draining"));
+        assertEquals("done\n", rig.call("active\n"));
+        awaitStatus("done");
+        assertEquals(200, rig.ask("read", 8000).status());
+    }
+
     /** Guards against a process that is to end and says it serves. */
     @Test
     void activeDoesNotUndoAStop() throws Exception {
--- a/src/test/java/mapleroute/sidecar/Rig.java
+++ b/src/test/java/mapleroute/sidecar/Rig.java
@@ -6,6 +6,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -29,6 +30,7 @@
     int deadlineMs = 9000;
     int memoryMb = 192;
     Path folder;
+    ServerSocketChannel listener;
     private int requests;
 
     Rig(Fake... endpoints) throws IOException {
@@ -75,7 +77,7 @@
         Path file = Files.createTempFile("config", ".json");
         try {
             Files.writeString(file, config());
-            sidecar = Sidecar.start(SidecarConfig.read(file), new Sidecar.Inherited(folder, null),
+            sidecar = Sidecar.start(SidecarConfig.read(file), new Sidecar.Inherited(folder, listener),
                 new PrintStream(log, true, StandardCharsets.UTF_8));
         } finally {
             Files.delete(file);
