Leave the list of known nodos out of what a changed file must have

Found by reading: SidecarConfig.complete wanted of each known nodo what all had before, so that a good file with an entry of which less is known was turned down ('field known.servers[].cell is missing'). The list has a reader of its own, which names what it cannot do without.

--- a/src/main/java/mapleroute/sidecar/SidecarConfig.java
+++ b/src/main/java/mapleroute/sidecar/SidecarConfig.java
@@ -59,7 +59,10 @@
                 if (!has.containsKey(key)) {
                     throw ServerList.bad(name, null);
                 }
-                complete(name, value, has.get(key));
+                // Of an endpoint less may be known; its list has a reader of its own.
+                if (!name.equals("known")) {
+                    complete(name, value, has.get(key));
+                }
             });
         } else if (before instanceof List<?> had && after instanceof List<?> has
                 && !had.isEmpty() && had.get(0) instanceof Map<?, ?> first) {
--- a/src/test/java/mapleroute/sidecar/SidecarConfigTest.java
+++ b/src/test/java/mapleroute/sidecar/SidecarConfigTest.java
@@ -64,6 +64,15 @@
         assertTrue(e.getMessage().contains(file + " is not JSON"), e.getMessage());
     }
 
+    /** Guards against a good file that is turned down, as less is known of an endpoint. */
+    @Test
+    void anEndpointOfWhichLessIsKnownIsNoFault() throws IOException {
+        SidecarConfig before = read("", "");
+        Path next = Files.writeString(folder.resolve("next.json"),
+            Files.readString(folder.resolve("config.json")).replace("\"cell\":0,", ""));
+        assertEquals("s0", before.next(next).known().entries().get(0).server().id());
+    }
+
     /** Guards against half a change: a file that is to take another's place is turned down whole. */
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
