Give a client that reads slowly longer than an endpoint that gives nothing

Found by reading: Exchange.mindStall ended a stream when nothing had moved for 10 s, also where it waits for its turn behind another on the client's connection, which may take longer. The 10 s hold for an endpoint that is read and gives nothing; what the client leaves unread is ended after 60 s, so that peers which never read hold no connection for good. No test of its own: it would have to wait as long. Also: a peer whose body turns unreadable while the rest of it is dropped is not read any further.

--- a/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/src/main/java/mapleroute/sidecar/Exchange.java
@@ -39,6 +39,8 @@
 
     /** A stream is given up when nothing has moved for so long: far longer than any peer that still gives. */
     private static final double STALL_MS = 10_000;
+    /** So long a client may leave an answer unread, which may wait behind another on its connection. */
+    private static final double UNREAD_MS = 60_000;
 
     /**
      * What a client sent, beyond what the module decides by.
@@ -345,12 +347,13 @@
     }
 
     private void mindStall(Open open, Try made, Body download) {
-        double left = download.movedAt() + STALL_MS - clock.now();
+        double left = download.movedAt() + (download.isWanted() ? STALL_MS : UNREAD_MS) - clock.now();
         if (made.ended) {
             return;
         }
         if (left > 0) {
-            after(left, () -> mindStall(open, made, download));
+            // Which of the two it is may change meanwhile.
+            after(Math.min(left, STALL_MS), () -> mindStall(open, made, download));
         } else {
             complaints.log("a stream has stalled", open.request.id());
             giveUp(open, made, Outcome.RESET);
--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -334,6 +334,7 @@
         private void stopTaking(HttpResponseStatus status, String why) {
             stopClock();
             ending = true;
+            discarding = false;
             Reply reply = uploading;
             if (reply == null) {
                 reply = new Reply(this);
