Start with a kept folder that is missing or damaged, and hold the bans it tells

Found by reading: Handover's file could not be made in a folder that is missing, which ended the start; one name that cannot be decoded lost all bans (MaintenanceFiles.read). Each is one log line now, and what can be read holds. Both tests fail on the code before.

--- a/src/main/java/mapleroute/sidecar/Handover.java
+++ b/src/main/java/mapleroute/sidecar/Handover.java
@@ -2,6 +2,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.nio.file.DirectoryIteratorException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -38,7 +39,7 @@
                     }
                 }
             }
-        } catch (IOException e) {
+        } catch (IOException | DirectoryIteratorException e) {
             // Nothing can be told of the other, if there is one: it counts for nothing.
             return 0;
         }
--- a/src/main/java/mapleroute/sidecar/MaintenanceFiles.java
+++ b/src/main/java/mapleroute/sidecar/MaintenanceFiles.java
@@ -4,6 +4,7 @@
 import java.net.URLDecoder;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryIteratorException;
 import java.nio.file.DirectoryStream;
 import java.nio.file.FileAlreadyExistsException;
 import java.nio.file.Files;
@@ -20,18 +21,27 @@
     private static final String PREFIX = "maintenance-";
 
     private final Path folder;
+    private final Complaints complaints;
 
-    MaintenanceFiles(Path folder) {
+    MaintenanceFiles(Path folder, Complaints complaints) {
         this.folder = folder;
+        this.complaints = complaints;
     }
 
+    /** The ids that can be read; what cannot be is nobody's here. */
     Set<String> read() throws IOException {
         Set<String> ids = new TreeSet<>();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, PREFIX + "*")) {
             for (Path file : files) {
-                ids.add(URLDecoder.decode(file.getFileName().toString().substring(PREFIX.length()),
-                    StandardCharsets.UTF_8));
+                String name = file.getFileName().toString().substring(PREFIX.length());
+                try {
+                    ids.add(URLDecoder.decode(name, StandardCharsets.UTF_8));
+                } catch (IllegalArgumentException e) {
+                    complaints.log("a file in the kept folder names no nodo", name);
+                }
             }
+        } catch (DirectoryIteratorException e) {
+            throw e.getCause();
         }
         return ids;
     }
--- a/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -160,7 +160,7 @@
                 exchange.failed();
             }
         }, config.known().version());
-        kept = inherited.folder() == null ? null : new MaintenanceFiles(inherited.folder());
+        kept = inherited.folder() == null ? null : new MaintenanceFiles(inherited.folder(), complaints);
         restoreMaintenance();
         frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half,
             config.memoryMb() * HELD_PER_MB);
@@ -177,25 +177,33 @@
      * the limits are for both. News of endpoints binds soon after this process says that it serves, so it
      * asks at once.
      */
-    private void follow(Path folder) throws IOException {
-        Handover handover = folder == null ? null : new Handover(folder);
+    private void follow(Path folder) {
         loop.execute(() -> {
+            Handover handover = null;
+            try {
+                handover = folder == null ? null : new Handover(folder);
+            } catch (IOException e) {
+                complaints.log("the other process of an upgrade cannot be followed", e);
+            }
             discovery.ask();
             loop.schedule(() -> {
                 informed = true;
                 acceptIfReady();
             }, LONGEST_UNINFORMED_MS, TimeUnit.MILLISECONDS);
             if (handover != null) {
-                loop.scheduleWithFixedDelay(() -> {
-                    followMaintenance();
-                    int half = half(handover.othersDescriptors());
-                    frontend.bound(half);
-                    endpoints.bound(half);
-                }, 0, FOLLOW_MS, TimeUnit.MILLISECONDS);
+                Handover other = handover;
+                loop.scheduleWithFixedDelay(() -> follow(other), 0, FOLLOW_MS, TimeUnit.MILLISECONDS);
             }
         });
     }
 
+    private void follow(Handover other) {
+        followMaintenance();
+        int half = half(other.othersDescriptors());
+        frontend.bound(half);
+        endpoints.bound(half);
+    }
+
     /** A process that shares its listener accepts once it can serve: until then another one does. */
     private void acceptIfReady() {
         if (shared && !frontend.isEnding() && informed && frontend.isWarm() && exchange.knowsEndpoints()) {
@@ -219,7 +227,7 @@
                 }
             }
             inMaintenance = said;
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException e) {
             complaints.log("what the other process was told of maintenance is not known", e);
         }
     }
@@ -233,7 +241,7 @@
                 exchange.maintain(id, true);
                 complaints.say("in maintenance by the files: " + id);
             }
-        } catch (IOException | IllegalArgumentException e) {
+        } catch (IOException e) {
             complaints.log("what was in maintenance before the start is not known", e);
         }
     }
--- a/src/test/java/mapleroute/sidecar/ManagementTest.java
+++ b/src/test/java/mapleroute/sidecar/ManagementTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -244,13 +245,38 @@
         rig.start();
         assertEquals("done\n", rig.call("maint-on s0\n"));
         rig.sidecar.stop();
-        new MaintenanceFiles(folder).set("../s9", true);
+        MaintenanceFiles files = new MaintenanceFiles(folder, null);
+        files.set("../s9", true);
         rig.start();
         for (int i = 0; i < 4; i++) {
             assertEquals(200, rig.ask("read", 8000).status());
         }
         assertEquals(0, rig.endpoints.get(0).requests.size());
         assertEquals("done\n", rig.call("maint-off s0\n"));
-        assertEquals(Set.of("../s9"), new MaintenanceFiles(folder).read());
+        assertEquals(Set.of("../s9"), files.read());
+    }
+
+    /** Guards against a start that a damaged folder stops, and against bans lost with what is damaged. */
+    @Test
+    void aDamagedFolderStopsNoStartAndTheBansThatCanBeReadHold(@TempDir Path folder) throws Exception {
+        Files.createFile(folder.resolve("maintenance-%zz"));
+        Files.createFile(folder.resolve("maintenance-s0"));
+        rig = new Rig(good(), good());
+        rig.folder = folder;
+        rig.start();
+        assertEquals(200, rig.ask("read", 8000).status());
+        assertEquals(0, rig.endpoints.get(0).requests.size());
+        assertEquals(1, rig.logged().lines().filter(line -> line.contains("names no nodo: %zz")).count());
+    }
+
+    @Test
+    void aMissingFolderStopsNoStart(@TempDir Path folder) throws Exception {
+        rig = new Rig(good());
+        rig.folder = folder.resolve("gone");
+        rig.listener = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
+        rig.start();
+        awaitStatus("done");
+        assertEquals("done\n", rig.call("maint-on s0\n"));
+        assertEquals(503, rig.ask("read", 8000).status());
     }
 }
