--- a/src/main/java/mapleroute/sidecar/SidecarConfig.java
+++ b/src/main/java/mapleroute/sidecar/SidecarConfig.java
@@ -79,7 +79,10 @@
         Map<String, Object> limits = object("settings.limits", settings.get("limits"));
         object("settings.rules", settings.get("rules"));
         positive("settings.limits.dial-timeout-ms", limits.get("dial-timeout-ms"));
-        positive("settings.limits.try-limit", limits.get("try-limit"));
+        double tries = positive("settings.limits.try-limit", limits.get("try-limit"));
+        if (tries != Math.rint(tries)) {
+            throw ServerList.bad("settings.limits.try-limit", tries);
+        }
         ServerList.Names names = new ServerList.Names(words("settings.azs", settings.get("azs")),
             words("settings.models", settings.get("models")));
         Map<String, Object> machine = object("limits", config.get("limits"));
--- a/src/test/java/mapleroute/sidecar/SidecarConfigTest.java
+++ b/src/test/java/mapleroute/sidecar/SidecarConfigTest.java
@@ -80,6 +80,8 @@
         "\"tier\":0,||settings.tier is missing",
         "\"hard-limit-ms\":9000,||classes[].deadline must be above 0",
         "\"name\":\"read\",||settings.classes[].name is missing",
+        "\"try-limit\":3|\"try-limit\":2.5|try-limit is not usable: 2.5",
+        "\"management\":\"127.0.0.1:0\"|\"management\":\"x\"|management is not usable: x",
         "\"try-limit\":3|\"try-limit\":0|try-limit is not usable: 0",
         "\"try-limit\":3|\"try-limit\":\"3\"|try-limit is not usable: 3",
         "\"hard-limit-ms\":9000|\"hard-limit-ms\":-1|classes[].deadline must be above 0",
