Send no header on that the client's Connection names

Found by reading: Frontend.message took out the usual headers of one connection, but none that Connection names itself, which is a form of HTTP/1.1. What a request cannot do without stays.

--- a/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/src/main/java/mapleroute/sidecar/Frontend.java
@@ -45,6 +45,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import mapleroute.Contract.Effect;
 import mapleroute.Contract.Request;
 import mapleroute.Contract.RequestClass;
@@ -582,6 +583,12 @@
 
         private static Exchange.Message message(HttpRequest request, String target, byte[] body, Body large) {
             HttpHeaders headers = request.headers().copy();
+            // A client may name more headers that are for this connection only, but not what a request needs.
+            request.headers().getAll(HttpHeaderNames.CONNECTION).stream()
+                .flatMap(named -> Stream.of(named.split(","))).map(String::trim)
+                .filter(named -> !named.isEmpty() && !named.equalsIgnoreCase(ID)
+                    && !named.equalsIgnoreCase(KEY) && !named.equalsIgnoreCase("Content-Length"))
+                .forEach(headers::remove);
             HOP_BY_HOP.forEach(headers::remove);
             if (large != null && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
                 headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
--- a/src/test/java/mapleroute/sidecar/StreamTest.java
+++ b/src/test/java/mapleroute/sidecar/StreamTest.java
@@ -344,6 +344,20 @@
         assertEquals(1, rig.attempts());
     }
 
+    @Test
+    void headersThatTheConnectionNamesGoNoFurther() throws Exception {
+        start(Fake.answering(200, "", "served"));
+        try (Wire client = rig.client()) {
+            client.send(rig.request("read", DEADLINE_MS).replace("Host:",
+                "Connection: X-Hop, X-Request-Id\r\nX-Hop: 1\r\nX-End: 2\r\nHost:"));
+            assertEquals(200, client.read().status());
+        }
+        Wire.Message seen = rig.endpoints.get(0).requests.get(0);
+        assertFalse(seen.headers().containsKey("x-hop"));
+        assertEquals("2", seen.headers().get("x-end"));
+        assertEquals("r0", seen.headers().get("x-request-id"));
+    }
+
     @Test
     void aTargetMayNameSchemeAndHost() throws Exception {
         start(Fake.answering(200, "", "served"));
