Split the build into modules: the decisions, and the sidecar that carries them out

Need: the lab to come uses the decisions in a process of its own, and nothing of it may reach the sidecar's jar. With one module, one jar and one class path nothing keeps them apart but attention.

Change: `decisions` (Decide, Contract, SettingsReader) and `sidecar` (Main, mapleroute.sidecar, mapleroute.benchlink; depends on decisions) under one parent that holds all versions. Deploy file, build script and the test of the policy file's size follow the new paths; no source of the program changes.

Road not taken: packages in one module with a test that forbids uses between them. It would hold the direction, but the shaded jar would still take whatever the lab brings.

--- a/src/test/java/mapleroute/PolicyFileTest.java
+++ b/decisions/src/test/java/mapleroute/PolicyFileTest.java
@@ -15,17 +15,19 @@
 /** The decisions are printed for the binder taken on call: the files that hold them stay within limits. */
 class PolicyFileTest {
 
+    /** The paths in the deploy file count from the root, one above this module. */
+    private static final Path ROOT = Path.of("..");
     private static final int MOST_LINES = 1200;
     private static final int MOST_CHARACTERS = 110;
 
     private static List<String> policyLines() throws IOException {
         Matcher policy = Pattern.compile("(?m)^policy = \\[(.*)]$")
-            .matcher(Files.readString(Path.of("deploy/balancer.toml")));
+            .matcher(Files.readString(ROOT.resolve("deploy/balancer.toml")));
         assertTrue(policy.find(), "deploy/balancer.toml names its policy files");
         List<String> lines = new ArrayList<>();
         Matcher file = Pattern.compile("\"([^\"]+)\"").matcher(policy.group(1));
         while (file.find()) {
-            lines.addAll(Files.readAllLines(Path.of(file.group(1))));
+            lines.addAll(Files.readAllLines(ROOT.resolve(file.group(1))));
         }
         return lines;
     }
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -4,8 +4,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 mvn -q -DskipTests package
-rm -f target/classes.jsa
-cat > target/archive.json <<'JSON'
+rm -f sidecar/target/classes.jsa
+cat > sidecar/target/archive.json <<'JSON'
 {"name":"archive","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1",
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"version":0,"full":true,"servers":[]},
  "settings":{"azs":["a"],"models":[],"membership-mode":"on_request",
@@ -13,13 +13,13 @@
              {"name":"order","effect":"once","slo-ms":500,"hard-limit-ms":1000}],
   "limits":{"dial-timeout-ms":200,"idle-close-ms":15000,"try-limit":3},"rules":{}}}
 JSON
-GW_CONFIG=target/archive.json java -XX:+UseSerialGC -XX:ArchiveClassesAtExit=target/classes.jsa \
-    -jar target/mapleroute.jar serve > target/archive.log 2>&1 &
+GW_CONFIG=sidecar/target/archive.json java -XX:+UseSerialGC -XX:ArchiveClassesAtExit=sidecar/target/classes.jsa \
+    -jar sidecar/target/mapleroute.jar serve > sidecar/target/archive.log 2>&1 &
 pid=$!
 tries=0
-while ! grep -q "warm after" target/archive.log && [ $tries -lt 100 ]; do
+while ! grep -q "warm after" sidecar/target/archive.log && [ $tries -lt 100 ]; do
     tries=$((tries + 1))
     sleep 0.1
 done
 kill -TERM $pid || true
-wait $pid || echo "build.sh: no class archive was made; see target/archive.log" >&2
+wait $pid || echo "build.sh: no class archive was made; see sidecar/target/archive.log" >&2
