--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/socket/DiscoveryServer.java
@@ -0,0 +1,145 @@
+package mapleroute.lab.socket;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.util.function.Function;
+import mapleroute.Contract.Server;
+import mapleroute.Contract.State;
+import mapleroute.lab.world.Discovery;
+import mapleroute.lab.world.Scene;
+
+/**
+ * Discovery of one tier as one sidecar sees it: each sidecar has an address of its own, by which discovery
+ * knows who was told what.
+ */
+final class DiscoveryServer {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Scene scene;
+    private final int sidecar;
+    private final int tier;
+    private final Function<String, InetSocketAddress> addresses;
+    private final LoopTime time;
+    private final ChannelFuture bound;
+
+    DiscoveryServer(EventLoop loop, Scene scene, int sidecar, int tier,
+            Function<String, InetSocketAddress> addresses, LoopTime time, InetSocketAddress address) {
+        this.scene = scene;
+        this.sidecar = sidecar;
+        this.tier = tier;
+        this.addresses = addresses;
+        this.time = time;
+        bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel fresh) {
+                    fresh.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(8192),
+                        new Calls());
+                }
+            }).bind(address);
+    }
+
+    void close() {
+        bound.channel().close();
+    }
+
+    /** A list in discovery's form. */
+    static ObjectNode json(Discovery.Listing listing, Scene scene, Function<String,
+        InetSocketAddress> addresses,
+            LoopTime time) {
+        ObjectNode list = JSON.createObjectNode();
+        list.put("version", listing.version());
+        list.put("full", listing.full());
+        ArrayNode servers = list.putArray("servers");
+        for (Server server : listing.servers()) {
+            ObjectNode line = servers.addObject();
+            line.put("id", server.id());
+            line.put("addr", Addresses.text(addresses.apply(server.id())));
+            line.put("zone", scene.experiment().world().zones().get(server.zone()));
+            line.put("kind", SocketWorld.KIND);
+            line.put("cell", server.cell());
+            line.put("state", server.state() == State.READY ? "in_service"
+                : server.state() == State.DRAINING ? "terminating" : "terminated");
+            line.put("weight", server.weight());
+            line.put("started_ms", time.unixMs(server.startedMs()));
+        }
+        return list;
+    }
+
+    private final class Calls extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+        private Discovery.Pending pending;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            QueryStringDecoder query = new QueryStringDecoder(request.uri());
+            if (!query.path().equals("/registry/instances")) {
+                answer(ctx, HttpResponseStatus.NOT_FOUND, new byte[0]);
+                return;
+            }
+            pending = scene.discovery(tier).call(number(query, "index"), number(query, "wait"), listing -> {
+                pending = null;
+                if (listing == null) {
+                    answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, new byte[0]);
+                    return;
+                }
+                answer(ctx, HttpResponseStatus.OK,
+                    json(listing, scene, addresses, time).toString()
+                    .getBytes(java.nio.charset.StandardCharsets.UTF_8));
+                scene.told(sidecar, tier, listing);
+            });
+        }
+
+        private long number(QueryStringDecoder query, String name) {
+            try {
+                return Long.parseLong(query.parameters().getOrDefault(name, java.util.List.of("0")).get(0));
+            } catch (NumberFormatException e) {
+                return 0;
+            }
+        }
+
+        private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, byte[] body) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.wrappedBuffer(body));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            ctx.writeAndFlush(response);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (pending != null) {
+                pending.cancel();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/socket/LoopTime.java
@@ -0,0 +1,34 @@
+package mapleroute.lab.socket;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import mapleroute.lab.world.Time;
+
+/** Real time, on the event loop that plays the whole world. */
+final class LoopTime implements Time {
+
+    private final EventLoop loop;
+    private final long startedNanos = System.nanoTime();
+    private final long startedUnixMs = System.currentTimeMillis();
+
+    LoopTime(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public double now() {
+        return (System.nanoTime() - startedNanos) / 1e6;
+    }
+
+    /** A time on this clock in Unix milliseconds; 0, which is long ago, stays. */
+    long unixMs(double time) {
+        return time <= 0 ? 0 : startedUnixMs + Math.round(time);
+    }
+
+    @Override
+    public Alarm after(double ms, Runnable task) {
+        Future<?> future = loop.schedule(task, (long) (Math.max(0, ms) * 1e6), TimeUnit.NANOSECONDS);
+        return () -> future.cancel(false);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/mapleroute/lab/ArchitectureTest.java
@@ -0,0 +1,77 @@
+package mapleroute.lab;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.jar.JarFile;
+import org.junit.jupiter.api.Test;
+
+/** Holds which part may use which, as docs/architecture.md tells. */
+class ArchitectureTest {
+
+    private static final JavaClasses ALL = new ClassFileImporter().importPaths(
+        Path.of("../decisions/target/classes"), Path.of("../sidecar/target/classes"),
+        Path.of("target/classes"));
+
+    @Test
+    void theDecisionsUseNothingButTheLanguageAndTheParser() {
+        classes().that().haveFullyQualifiedName("mapleroute.Decide")
+            .or().haveNameMatching("mapleroute\\.(Decide|Contract)\\$.*").or()
+            .haveFullyQualifiedName("mapleroute.Contract")
+            .should().onlyDependOnClassesThat()
+            .haveNameMatching("java\\..*|mapleroute\\.(Decide|Contract)(\\$.*)?|\\[.*")
+            .check(ALL);
+        noClasses().that().haveNameMatching("mapleroute\\.(Decide|Contract|SettingsReader).*")
+            .should().dependOnClassesThat().resideInAnyPackage("mapleroute.sidecar..",
+            "mapleroute.benchlink..",
+                "mapleroute.lab..", "io.netty..")
+            .check(ALL);
+    }
+
+    @Test
+    void nothingThatServesKnowsOfTheLab() {
+        noClasses().that().resideOutsideOfPackage("mapleroute.lab..")
+            .should().dependOnClassesThat().resideInAPackage("mapleroute.lab..").check(ALL);
+    }
+
+    @Test
+    void theLabUsesTheDecisionsAndNothingOfTheSidecar() {
+        noClasses().that().resideInAPackage("mapleroute.lab..")
+            .should().dependOnClassesThat().resideInAnyPackage("mapleroute.sidecar..",
+            "mapleroute.benchlink..")
+            .check(ALL);
+    }
+
+    /** The world knows neither what plays it nor who counts. */
+    @Test
+    void insideTheLabTheWorldIsAtTheBottom() {
+        noClasses().that().resideInAPackage("mapleroute.lab.world..")
+            .should().dependOnClassesThat().resideInAnyPackage("mapleroute.lab", "mapleroute.lab.socket..",
+                "mapleroute.lab.virtual..", "mapleroute.lab.measure..", "mapleroute.lab.report..",
+                "io.netty..")
+            .check(ALL);
+        noClasses().that().resideInAPackage("mapleroute.lab.experiment..")
+            .should().dependOnClassesThat().resideInAnyPackage("mapleroute.lab", "mapleroute.lab.world..",
+                "mapleroute.lab.socket..", "mapleroute.lab.measure..")
+            .check(ALL);
+    }
+
+    /** A class of the lab or of its libraries in that jar would be memory and start time of every sidecar. */
+    @Test
+    void theSidecarsJarHoldsNothingOfTheLab() throws IOException {
+        try (JarFile jar = new JarFile("../sidecar/target/mapleroute.jar")) {
+            List<String> entries = jar.stream().map(entry -> entry.getName()).toList();
+            assertTrue(entries.contains("mapleroute/Main.class"));
+            assertEquals(List.of(), entries.stream().filter(entry -> entry.startsWith("mapleroute/lab/")
+                || entry.startsWith("picocli/") || entry.startsWith("com/fasterxml/jackson/databind/")
+                || entry.startsWith("org/")).toList());
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/mapleroute/lab/socket/SocketWorldTest.java
@@ -0,0 +1,72 @@
+package mapleroute.lab.socket;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import mapleroute.lab.experiment.Experiment;
+import mapleroute.lab.experiment.ExperimentReader;
+import mapleroute.lab.measure.Result;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A short day with real sidecar processes. */
+@Timeout(120)
+class SocketWorldTest {
+
+    @TempDir
+    Path folder;
+
+    private Experiment experiment() throws Exception {
+        Path file = Files.writeString(folder.resolve("e.yaml"), """
+            name: small
+            duration: 3s
+            mode: socket
+            world:
+              zones: [a]
+              sidecars: 1
+              tiers:
+                one: {nodos: 2, work: 0.5}
+                two: {nodos: 2, work: 0.5}
+              classes:
+                read: {work: 10ms, aim: 1500ms, deadline: 3s}
+                save: {work: 10ms, aim: 1500ms, deadline: 3s, effect: by-key, group: cell, window: 4s}
+              clients: {rate: 40/s}
+            """);
+        return ExperimentReader.read("e.yaml", ExperimentReader.tree(file.toString(), Map.of()));
+    }
+
+    private SocketWorld.Launch launch(String command) {
+        return new SocketWorld.Launch(command, Path.of("").toAbsolutePath(), null);
+    }
+
+    /**
+     * Requests go from clients through two tiers of sidecars to nodos and back, and all are accounted for.
+     */
+    @Test
+    void aDayOnSocketsIsServedAndCounted() throws Exception {
+        String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
+        Result result = SocketWorld.play(experiment(), 1, Map.of(), launch("exec " + java
+            + " -XX:TieredStopAtLevel=1 -jar ../sidecar/target/mapleroute.jar serve"), part -> { });
+        Result.Totals t = result.totals();
+        assertTrue(t.offered() > 50, t.toString());
+        assertEquals(t.offered(), t.inTime() + t.late() + t.refused() + t.failed(), t.toString());
+        assertTrue(t.inTime() > 0, t.toString());
+        assertTrue(t.attempts() >= 2 * t.inTime(), t.toString());
+        assertTrue(result.notes().stream().noneMatch(note -> note.contains("no caller sent")),
+            result.notes().toString());
+    }
+
+    /** Guards against a day that goes on without a sidecar that never came up. */
+    @Test
+    void aSidecarThatEndsAtOnceIsACrash() throws Exception {
+        IOException failure = assertThrows(IOException.class,
+            () -> SocketWorld.play(experiment(), 1, Map.of(), launch("exit 3"), part -> { }));
+        assertTrue(failure.getMessage().contains("ended by itself with status 3"), failure.getMessage());
+    }
+}
