--- a/decisions/src/main/java/mapleroute/Decide.java
+++ b/decisions/src/main/java/mapleroute/Decide.java
@@ -1058,10 +1058,7 @@
      * answers show that they are crowded: where servers slow down when crowded, that is too late.
      */
     private void learnUsable() {
-        double inUse = 0;
-        for (Target target : known) {
-            inUse += target.onTrial ? 0 : relativeWeight(target);
-        }
+        double inUse = known.stream().mapToDouble(t -> t.onTrial ? 0 : relativeWeight(t)).sum();
         usable = ready == 0 ? 1 : Math.max(1, inUse) / ready;
     }
 
@@ -1156,9 +1153,7 @@
                 }
             }
         }
-        for (Contract.Server entry : entries) {
-            update(now, entry);
-        }
+        entries.forEach(entry -> update(now, entry));
         relist(now);
     }
 
@@ -1168,10 +1163,7 @@
         targets.values().stream().filter(t -> t.listed.state() == State.READY).forEach(known::add);
         ready = known.size();
         readyInZone = (int) known.stream().filter(t -> !isFar(t)).count();
-        double weights = 0;
-        for (Target target : known) {
-            weights += target.listed.weight();
-        }
+        double weights = known.stream().mapToDouble(t -> t.listed.weight()).sum();
         double size = weights > 0 ? weights : ready;
         if (limitFor == 0) {
             limit = Math.min(CEILING, Math.max(1, firstCalls() * ready / settings.balancers()));
@@ -1186,12 +1178,8 @@
         meanWeight = ready == 0 || weights <= 0 ? 1 : weights / ready;
         known.sort(Comparator.comparingLong(this::ringOrder).thenComparing(t -> t.id));
         place(known);
-        for (Slot slot : pool) {
-            slot.rank = rank(slot);
-        }
-        for (Target target : known) {
-            offer(now, target);
-        }
+        pool.forEach(slot -> slot.rank = rank(slot));
+        known.forEach(target -> offer(now, target));
     }
 
     @Override
