Work out the part of servers in use only when a trial or the list has changed

Cause: `learnUsable` went over all known servers at every refill pause, 16 times a second at a busy balancer. Ruled out: `relist` (51 samples now) and the pool's own loops (101 in `onFinished`).

Change: a flag that trials and lists set. What is worked out is the same, so no test can fail for its cost; the new test holds that the limit follows, and failed with either of the two flags at trials left out.

--- a/decisions/src/main/java/mapleroute/Decide.java
+++ b/decisions/src/main/java/mapleroute/Decide.java
@@ -334,6 +334,8 @@
     /** The weight of the listed servers that the limit is for, and the part of them that can be used now. */
     private double limitFor;
     private double usable = 1;
+    /** A server has come on trial or off it, or the list is another, since that part was worked out. */
+    private boolean usableStale;
     /** What the next line to the operators tells of. */
     private double nextReport;
     private int turnedAway;
@@ -879,6 +881,7 @@
         target.trialAnswers = 0;
         if (!target.onTrial) {
             target.onTrial = true;
+            usableStale = true;
             ailing++;
             ejections++;
         }
@@ -916,6 +919,7 @@
             return;
         }
         if (++target.trialAnswers >= 1 << Math.min(target.strikes, 3)) {
+            usableStale = true;
             target.onTrial = false;
             ailing--;
             target.strikes /= 2;
@@ -1063,6 +1067,10 @@
      * answers show that they are crowded: where servers slow down when crowded, that is too late.
      */
     private void learnUsable() {
+        if (!usableStale) {
+            return;
+        }
+        usableStale = false;
         double inUse = known.stream().mapToDouble(t -> t.onTrial ? 0 : relativeWeight(t)).sum();
         usable = ready == 0 ? 1 : Math.max(1, inUse) / ready;
     }
@@ -1167,6 +1175,7 @@
 
     /** Takes stock of the servers that may be used, once some have changed. */
     private void relist(double now) {
+        usableStale = true;
         known.clear();
         targets.values().stream().filter(t -> t.listed.state() == State.READY).forEach(known::add);
         ready = known.size();
--- a/decisions/src/test/java/mapleroute/DecideTest.java
+++ b/decisions/src/test/java/mapleroute/DecideTest.java
@@ -1095,4 +1095,26 @@
         long allocated = threads.getThreadAllocatedBytes(self) - before;
         assertTrue(allocated < 4096, allocated + " bytes");
     }
+
+    /** Guards against a limit for servers that are on trial, or one that stays down once they are well. */
+    @Test
+    void theLimitFollowsServersOnTrialAndOff() {
+        Fixture f = Fixture.of(1, 0, 0).list(Fixture.servers(4));
+        f.now += 1000;
+        f.balancer.onTimer(f.now, 2);
+        double all = f.balancer.limit();
+        f.request(Fixture.ONCE);
+        String struck = f.host.last().server();
+        f.finish(f.host.last(), Outcome.FAILED, 5);
+        f.now += 150;
+        f.balancer.onTimer(f.now, 2);
+        assertEquals(all * 3 / 4, f.balancer.limit(), 1e-9);
+        for (int i = 0; i < 200 && f.balancer.limit() < all; i++) {
+            f.now += 150;
+            f.request(Fixture.REPEATABLE);
+            f.finish(f.host.last(), Outcome.OK, 5);
+        }
+        assertTrue(f.host.sent.stream().filter(sent -> sent.server().equals(struck)).count() > 1);
+        assertTrue(f.balancer.limit() >= all, f.balancer.limit() + " of " + all);
+    }
 }
