Have the lab's discovery tell its news in rounds

Cause: each change was told alone, so that 600 nodos lost at once made 600 answers to every sidecar; the operators' site has its list in periods of 170 to 1,100 ms, and a watch that is asked for again gathers news too.

Change: `discovery.period`; what is heard of within a round comes together. News of a nodo that is listed no more raises no version any longer.

--- a/lab/src/main/java/mapleroute/lab/experiment/Experiment.java
+++ b/lab/src/main/java/mapleroute/lab/experiment/Experiment.java
@@ -129,10 +129,11 @@
      * Discovery, one service for each tier's sidecars.
      *
      * @param noticeMs how late it learns of a change
+     * @param periodMs it tells changes in rounds of this length
      * @param capacity calls that it answers a second
      * @param timeoutMs after which a call that waited has failed
      */
-    public record Discovery(Range noticeMs, double capacity, double timeoutMs) {
+    public record Discovery(Range noticeMs, Range periodMs, double capacity, double timeoutMs) {
     }
 
     /** The front before the first tier: how late it notices a dead sidecar. */
--- a/lab/src/main/java/mapleroute/lab/experiment/ExperimentReader.java
+++ b/lab/src/main/java/mapleroute/lab/experiment/ExperimentReader.java
@@ -183,6 +183,7 @@
         Fields d = fields.group("discovery");
         Discovery discovery = new Discovery(d.range("notice", Quantity.DURATION, new Range(1200, 3000), 0,
             60_000),
+            d.range("period", Quantity.DURATION, new Range(170, 1100), 0, 60_000),
             scale * d.figure("capacity", Quantity.RATE, 200, 0.1, ANY),
             d.figure("timeout", Quantity.DURATION, 2000, 1, 60_000));
         d.done();
--- a/lab/src/main/java/mapleroute/lab/world/Discovery.java
+++ b/lab/src/main/java/mapleroute/lab/world/Discovery.java
@@ -69,6 +69,10 @@
     private final Deque<Change> changes = new ArrayDeque<>();
     private final Set<Pending> watches = new LinkedHashSet<>();
     private final Deque<Pending> queue = new ArrayDeque<>();
+    /** News that the next round will tell. */
+    private final List<Server> news = new ArrayList<>();
+    private boolean roundComes;
+    private final double periodMs;
     private long version = 1;
     private boolean down;
     private double slowness = 1;
@@ -79,6 +83,7 @@
 
     Discovery(Scene scene) {
         this.scene = scene;
+        periodMs = scene.draw(scene.experiment().world().discovery().periodMs());
     }
 
     /** Lists a nodo at once, as before the day. */
@@ -94,20 +99,37 @@
     /** What has become of a nodo is known here after a while. */
     void learn(Server server) {
         scene.time().after(scene.draw(scene.experiment().world().discovery().noticeMs()) + lateMs,
-            () -> publish(server));
+            () -> hear(server));
     }
 
-    private void publish(Server server) {
+    /** Changes are told in rounds: those that are heard of within one come together. */
+    private void hear(Server server) {
+        news.add(server);
+        if (!roundComes) {
+            roundComes = true;
+            scene.time().after(periodMs, this::tellRound);
+        }
+    }
+
+    private void tellRound() {
+        roundComes = false;
+        news.forEach(this::enter);
+        news.clear();
+        for (Pending watch : List.copyOf(watches)) {
+            watch.answer(since(watch.from));
+        }
+    }
+
+    private void enter(Server server) {
         Server before = listed.get(server.id());
-        if (server.equals(before) || before != null && before.startedMs() > server.startedMs()) {
-            // News of a process that another has taken the place of.
+        boolean unknown = before == null && server.state() == State.GONE;
+        if (unknown || server.equals(before) || before != null && before.startedMs() > server.startedMs()) {
+            // News of a process that another has taken the place of, or of one that is listed no more.
             return;
         }
         version++;
         if (server.state() == State.GONE) {
-            if (listed.remove(server.id()) == null) {
-                return;
-            }
+            listed.remove(server.id());
             gone.put(server.id(), server);
         } else {
             gone.remove(server.id());
@@ -117,9 +139,6 @@
         if (changes.size() > MOST_CHANGES) {
             changes.poll();
         }
-        for (Pending watch : List.copyOf(watches)) {
-            watch.answer(since(watch.from));
-        }
     }
 
     private Listing since(long from) {
