Report the lab's runs as a page with plots and as JSON, and compare two of them

Two false verdicts of the checker are gone: a nodo that a cut keeps from hearing that it was left, and one that called on after its time.

Each call's work is drawn by itself now.

Road not taken: a page that draws itself by script; it needs more than it shows.

--- a/lab/src/main/java/mapleroute/lab/Campaign.java
+++ b/lab/src/main/java/mapleroute/lab/Campaign.java
@@ -102,6 +102,11 @@
         return points;
     }
 
+    /** What the experiment shows, in one sentence. */
+    String about() {
+        return days.get(0).experiment().about();
+    }
+
     /** Plays all days; each is told as it ends, in the order of the days. */
     List<Result> play() throws IOException {
         List<Result> results = new ArrayList<>();
--- a/lab/src/main/java/mapleroute/lab/RunCommand.java
+++ b/lab/src/main/java/mapleroute/lab/RunCommand.java
@@ -1,9 +1,6 @@
 package mapleroute.lab;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.SerializationFeature;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -11,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import mapleroute.lab.measure.Result;
+import mapleroute.lab.report.Report;
 import mapleroute.lab.socket.SocketWorld;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -48,7 +46,7 @@
         "Changes a key of the file; may be repeated.")
     private Map<String, String> changes = new LinkedHashMap<>();
 
-    @Option(names = "--out", paramLabel = "FOLDER", description = "Where the report goes, as result.json.")
+    @Option(names = "--out", paramLabel = "FOLDER", description = "Where report.html and result.json go.")
     private Path out;
 
     @Option(names = "--sidecar", paramLabel = "COMMAND",
@@ -90,10 +88,11 @@
         Campaign campaign = new Campaign(name, changes, swept, this::launch, threads, spec.commandLine()
             .getOut());
         List<Result> results = campaign.play();
+        Report.comparePolicies(results)
+            .forEach(each -> Report.lines(each).forEach(spec.commandLine().getOut()::println));
+        spec.commandLine().getOut().flush();
         if (out != null) {
-            Files.createDirectories(out);
-            new ObjectMapper().enable(SerializationFeature.INDENT_OUTPUT)
-                .writeValue(out.resolve("result.json").toFile(), results);
+            Report.write(out, campaign.about(), results);
         }
         return results.stream().allMatch(Result::kept) ? 0 : 1;
     }
--- a/lab/src/main/java/mapleroute/lab/experiment/Experiment.java
+++ b/lab/src/main/java/mapleroute/lab/experiment/Experiment.java
@@ -99,7 +99,7 @@
      *
      * @param share its part of all requests
      * @param workMs the mean work of a request, over all tiers, if each tier were called once
-     * @param spread the coefficient of variation of the work, 0 for none
+     * @param spread the coefficient of variation of the work of each call, 0 for none
      */
     public record RequestClass(String name, double share, Range workMs, double spread, double aimMs,
             double deadlineMs, double worth, Effect effect, Group group, double windowMs) {
--- a/lab/src/main/java/mapleroute/lab/measure/Ledger.java
+++ b/lab/src/main/java/mapleroute/lab/measure/Ledger.java
@@ -252,7 +252,9 @@
                 resets, garbled, left, unconnected, crossZone, round(work), round(usefulWork)),
             new Result.Latency(waits.getValueAtPercentile(50), waits.getValueAtPercentile(90),
                 waits.getValueAtPercentile(99), waits.getValueAtPercentile(99.9), waits.getMaxValue()),
-            lines, nodos, notes);
+            lines, nodos, experiment.troubles().stream()
+            .map(trouble -> new Result.Span(trouble.kind().name().toLowerCase(java.util.Locale.ROOT)
+            .replace('_', '-'), trouble.atMs() / 1000, trouble.untilMs() / 1000)).toList(), notes);
     }
 
     private static double part(double[] served, double[] asked, int from, int to) {
--- a/lab/src/main/java/mapleroute/lab/measure/Result.java
+++ b/lab/src/main/java/mapleroute/lab/measure/Result.java
@@ -13,6 +13,7 @@
  * @param prices what each price took off
  * @param broken each broken rule with request, nodo and time, the first of each kind
  * @param seconds what happened in each second in which requests came
+ * @param troubles what went wrong on purpose
  * @param nodos calls that each nodo got, by its tier's name and its own
  */
 @JsonPropertyOrder({"experiment", "mode", "policy", "seed", "point", "g"})
@@ -21,7 +22,8 @@
         double whole, double worstTenSeconds, double worstClass, Map<String, Double> classes,
         Map<String, Double> prices, Map<String, Integer> rules, List<RulesChecker.Broken> broken,
         Totals totals,
-        Latency latency, List<Second> seconds, Map<String, Map<String, Integer>> nodos, List<String> notes) {
+        Latency latency, List<Second> seconds, Map<String, Map<String, Integer>> nodos, List<Span> troubles,
+        List<String> notes) {
 
     /** Counts over the whole day. */
     public record Totals(long offered, long inTime, long late, long refused, long failed, long tries,
@@ -31,6 +33,10 @@
             long crossZone, double workMs, double usefulWorkMs) {
     }
 
+    /** A trouble of the day, from when to when, in seconds. */
+    public record Span(String kind, double from, double to) {
+    }
+
     /** What clients waited for answers, from their first try, in milliseconds. */
     public record Latency(double p50, double p90, double p99, double p999, double max) {
     }
--- a/lab/src/main/java/mapleroute/lab/world/First.java
+++ b/lab/src/main/java/mapleroute/lab/world/First.java
@@ -16,7 +16,7 @@
     public final int tenant;
     /** The zone that the client is in. */
     public final int zone;
-    /** Work of the whole request, in core milliseconds, if each tier were called once. */
+    /** Mean work of such a request, in core milliseconds, if each tier were called once. */
     public final double workMs;
     /** What is drawn for it further on. */
     public final long seed;
--- a/lab/src/main/java/mapleroute/lab/world/Nodo.java
+++ b/lab/src/main/java/mapleroute/lab/world/Nodo.java
@@ -250,7 +250,11 @@
         double now = scene.now();
         int attempt = call.attempts++;
         SplittableRandom drawn = new SplittableRandom(call.seed);
-        double workMs = call.first.workMs * spec.work();
+        // Lognormal with the class's mean and spread, and the same for every attempt of the call.
+        double spread = scene.experiment().world().classes().get(call.first.kind).spread();
+        double variance = Math.log1p(spread * spread);
+        double workMs = call.first.workMs * spec.work()
+            * Math.exp(Math.sqrt(variance) * drawn.nextGaussian() - variance / 2);
         int calls = tier + 1 < scene.tiers() ? scene.calls(tier + 1, drawn) : 0;
         Job job = new Job(call, attempt, until, calls == 0 ? workMs : workMs / 2, calls, reply);
         scene.facts().arrived(now, call, this, attempt);
@@ -368,6 +372,11 @@
             run(job);
             return;
         }
+        if (scene.now() >= job.until) {
+            // Nobody waits for it any more, so it asks nobody further.
+            end(job, End.ERROR);
+            return;
+        }
         job.callsLeft--;
         job.callsMade++;
         Call child = scene.childOf(job.call, zone, tier + 1, job.until, job.attempt, job.callsMade);
@@ -410,6 +419,13 @@
         }
     }
 
+    /** The sidecar waits no longer, but word of it does not reach the nodo, which goes on. */
+    public void lose(Job job) {
+        if (!job.ended && abandoned.add(job)) {
+            scene.facts().ended(scene.now(), job.call, this, job.attempt, End.LEFT, job.began);
+        }
+    }
+
     private void end(Job job, End end) {
         if (job.ended) {
             return;
