Start the lab's sidecar processes off the loop, and end them when the lab is ended

Change: a thread of their own starts them; a hook kills them and removes the scratch folder at SIGTERM or Ctrl-C.

--- a/lab/src/main/java/mapleroute/lab/socket/SidecarProcess.java
+++ b/lab/src/main/java/mapleroute/lab/socket/SidecarProcess.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -28,6 +29,8 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import mapleroute.lab.world.Answer;
 import mapleroute.lab.world.Call;
@@ -49,7 +52,8 @@
     private final Scene scene;
     private final Calls calls;
     private final InetSocketAddress address;
-    private final Process process;
+    /** The process, once it is started. */
+    private final CompletableFuture<Process> process;
     private final int number;
     private final int zone;
     private final Bootstrap bootstrap;
@@ -59,7 +63,7 @@
     private final double startedAt;
 
     SidecarProcess(EventLoop loop, Scene scene, Calls calls, InetSocketAddress address, int number, int zone,
-            ProcessBuilder builder, Path log, Runnable ready) throws IOException {
+            ProcessBuilder builder, Path log, Executor starter, Runnable ready) {
         this.loop = loop;
         this.scene = scene;
         this.calls = calls;
@@ -78,20 +82,31 @@
         builder.redirectErrorStream(true);
         builder.redirectOutput(log == null ? ProcessBuilder.Redirect.DISCARD
             : ProcessBuilder.Redirect.to(log.toFile()));
-        process = builder.start();
         startedAt = scene.now();
-        process.onExit().thenRun(() -> loop.execute(() -> {
-            if (!ended) {
-                ended = true;
-                scene.facts().crashed(scene.now(), number, "ended by itself with status "
-                    + process.exitValue());
+        // Starting a process takes tens of milliseconds, which the loop that plays the world has not.
+        process = CompletableFuture.supplyAsync(() -> {
+            try {
+                return builder.start();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }, starter);
+        process.whenComplete((started, failure) -> loop.execute(() -> {
+            if (failure != null) {
+                ends("could not be started: " + failure.getCause().getMessage());
+            } else {
+                started.onExit().thenRun(() -> loop.execute(() ->
+                    ends("ended by itself with status " + started.exitValue())));
             }
         }));
         askReady(ready);
     }
 
-    long pid() {
-        return process.pid();
+    private void ends(String how) {
+        if (!ended) {
+            ended = true;
+            scene.facts().crashed(scene.now(), number, how);
+        }
     }
 
     private void askReady(Runnable ready) {
@@ -186,14 +201,14 @@
     @Override
     public void kill() {
         ended = true;
-        process.destroyForcibly();
+        process.thenAccept(Process::destroyForcibly);
     }
 
     @Override
     public void terminate() {
         ended = true;
         // SIGTERM, to the process that the command became.
-        process.destroy();
+        process.thenAccept(Process::destroy);
     }
 
     /** One of the callers' connections, with one request at a time. */
--- a/lab/src/main/java/mapleroute/lab/socket/SocketWorld.java
+++ b/lab/src/main/java/mapleroute/lab/socket/SocketWorld.java
@@ -13,12 +13,16 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.DoubleConsumer;
@@ -66,10 +70,13 @@
     private final Path scratch;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
+    private final ExecutorService starter = Executors.newCachedThreadPool(new DefaultThreadFactory("starter",
+        true));
     private final LoopTime time;
     private final Calls calls;
     private final Map<String, NodoServer> servers = new HashMap<>();
-    private final List<SidecarProcess> processes = new ArrayList<>();
+    /** Read by the hook that ends them when this process is ended first. */
+    private final List<SidecarProcess> processes = new CopyOnWriteArrayList<>();
     private final List<DiscoveryServer> discoveries = new ArrayList<>();
     private Scene scene;
 
@@ -88,10 +95,16 @@
     public static Result play(Experiment experiment, long seed, Map<String, String> point, Launch launch,
             DoubleConsumer progress) throws IOException {
         SocketWorld world = new SocketWorld(experiment, launch);
+        Thread ender = new Thread(() -> {
+            world.processes.forEach(SidecarProcess::kill);
+            world.removeScratch();
+        }, "ender");
+        Runtime.getRuntime().addShutdownHook(ender);
         try {
             return world.play(seed, point, progress);
         } finally {
             world.close();
+            Runtime.getRuntime().removeShutdownHook(ender);
         }
     }
 
@@ -156,17 +169,34 @@
         }
     }
 
-    private void close() throws IOException {
+    /** What is still on its way up ends as soon as it is there; nothing must outlive the day. */
+    private void awaitStarter() {
+        starter.shutdown();
+        try {
+            starter.awaitTermination(START_LIMIT_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void close() {
         loop.submit(() -> {
             processes.forEach(SidecarProcess::kill);
             servers.values().forEach(NodoServer::close);
             discoveries.forEach(DiscoveryServer::close);
         }).awaitUninterruptibly();
+        awaitStarter();
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        removeScratch();
+    }
+
+    private void removeScratch() {
         try (var files = Files.walk(scratch)) {
-            for (Path file : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.deleteIfExists(file);
             }
+        } catch (IOException e) {
+            // It is in the system's folder for such files, and no day depends on its end.
         }
     }
 
@@ -211,7 +241,7 @@
                 : Files.createDirectories(launch.logs()).resolve("n" + post.number() + ".log");
             SidecarProcess process = new SidecarProcess(loop, scene, calls, listen, post.number(),
                 post.zone(),
-                builder, log, ready);
+                builder, log, starter, ready);
             processes.add(process);
             return process;
         } catch (IOException e) {
