Let the lab's draining nodos serve what still comes until all are told

The lab's page showed the limit fall from 23 to 5 as the release began: its nodos turned requests away from the moment they drained, 1 to 3 s before discovery told of it (`submit` in Nodo), and the module takes that for crowding. Ruled out: cold servers (the limit fell before the first was listed).

Change: a nodo that drains serves on; it is gone once all must have been told. A test of it.

--- a/lab/src/main/java/mapleroute/lab/world/Nodo.java
+++ b/lab/src/main/java/mapleroute/lab/world/Nodo.java
@@ -167,7 +167,7 @@
         return isUp() ? startedMs : Double.NaN;
     }
 
-    /** Whether it finishes what it has and wants nothing new. */
+    /** Whether it wants nothing new: what still comes until all are told it serves all the same. */
     boolean isDraining() {
         return draining;
     }
@@ -262,8 +262,6 @@
         held.add(job);
         if (!isUp()) {
             end(job, End.RESET);
-        } else if (draining) {
-            end(job, End.TURNED_AWAY);
         } else if (resetShare > 0 && random.nextDouble() < resetShare) {
             job.began = random.nextBoolean();
             end(job, End.RESET);
--- a/lab/src/test/java/mapleroute/lab/world/NodoTest.java
+++ b/lab/src/test/java/mapleroute/lab/world/NodoTest.java
@@ -93,6 +93,18 @@
         assertEquals(List.of("r1 LEFT 0", "r2 SERVED 20"), ends);
     }
 
+    /**
+     * Sidecars that no list has told yet send on: that must not look like a fault of theirs or of the nodo.
+     */
+    @Test
+    void aNodoThatDrainsServesWhatStillComes() throws Exception {
+        Nodo nodo = nodo();
+        nodo.drain();
+        submit(nodo, null);
+        pass(50);
+        assertEquals(List.of("r0 SERVED 10"), ends);
+    }
+
     @Test
     void aProcessThatDiesResetsWhatItHas() throws Exception {
         Nodo nodo = nodo();
