--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/host/FleetHost.java
@@ -0,0 +1,174 @@
+package mapleroute.fleet.host;
+
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import mapleroute.fleet.member.Membership;
+import mapleroute.fleet.member.Message;
+import mapleroute.fleet.member.Port;
+import mapleroute.fleet.member.Profile;
+import mapleroute.fleet.member.Tuning;
+import mapleroute.fleet.member.Update;
+import mapleroute.fleet.wire.Addresses;
+import mapleroute.fleet.wire.BadMessage;
+import mapleroute.fleet.wire.MessageCodec;
+
+/**
+ * Carries the fleet's protocols on sockets and real time, on the event loop of the process that it serves.
+ * All calls but {@link #start} belong on that loop.
+ */
+public final class FleetHost implements Port {
+
+    private final EventLoop loop;
+    private final FleetConfig config;
+    private final Consumer<String> log;
+    private final ChangeLog changes;
+    private final SeedsFile seedsFile;
+    private final MessageCodec codec;
+    private final Transport transport;
+    private final long startNanos = System.nanoTime();
+    private Membership membership;
+    private Profile profile;
+    private Future<?> alarm;
+    private double alarmMs = Double.POSITIVE_INFINITY;
+    private boolean closed;
+
+    private FleetHost(EventLoop loop, ByteBufAllocator buffers, FleetConfig config, Consumer<String> log) {
+        this.loop = loop;
+        this.config = config;
+        this.log = log;
+        changes = new ChangeLog(log);
+        seedsFile = config.seedsFile() == null ? null : new SeedsFile(config.seedsFile(), log);
+        codec = new MessageCodec(config.fleet());
+        transport = new Transport(loop, buffers, this::received);
+    }
+
+    /**
+     * Listens and begins to take part.
+     *
+     * @param loop the one thread that everything runs on; not the calling one
+     * @param name of this process in the fleet, the same after a restart
+     * @param profile what this process says of itself
+     * @param seed for random numbers, another for each process
+     * @param log takes lines for operators
+     * @throws IOException if it cannot listen
+     */
+    public static FleetHost start(EventLoop loop, ByteBufAllocator buffers, FleetConfig config, String name,
+            Profile profile, long seed, Consumer<String> log) throws IOException {
+        FleetHost host = new FleetHost(loop, buffers, config, log);
+        host.transport.listen(config.listen());
+        String address = config.advertise() == null ? Addresses.text(host.transport.address())
+            : config.advertise();
+        host.profile = profile;
+        loop.submit(() -> {
+            host.membership = new Membership(Tuning.DEFAULT, name, address, profile, seed, host, host.now());
+            host.step();
+        }).syncUninterruptibly();
+        log.accept("fleet: " + name + " is in " + config.fleet() + ", at " + address + ", with "
+            + config.seeds().size() + " seeds" + (config.seedsFile() == null ? "" : " and those of "
+            + config.seedsFile()));
+        return host;
+    }
+
+    private double now() {
+        return (System.nanoTime() - startNanos) / 1e6;
+    }
+
+    private void received(byte[] bytes) {
+        if (membership == null || closed) {
+            return;
+        }
+        try {
+            membership.receive(now(), codec.decode(bytes));
+            plan();
+        } catch (BadMessage e) {
+            transport.count("messages that are " + e.getMessage());
+        }
+    }
+
+    private void step() {
+        alarmMs = Double.POSITIVE_INFINITY;
+        if (!closed) {
+            membership.advance(now());
+            plan();
+        }
+    }
+
+    private void plan() {
+        double next = membership.nextMs();
+        if (next >= alarmMs) {
+            return;
+        }
+        if (alarm != null) {
+            alarm.cancel(false);
+        }
+        alarmMs = next;
+        alarm = loop.schedule(this::step, (long) (Math.max(0, next - now()) * 1e6), TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void send(String address, Message message, boolean whole) {
+        byte[] bytes = codec.encode(message);
+        if (whole) {
+            transport.whole(address, bytes);
+        } else {
+            transport.datagram(address, bytes);
+        }
+    }
+
+    @Override
+    public List<String> seeds() {
+        if (seedsFile == null) {
+            return config.seeds();
+        }
+        List<String> all = new ArrayList<>(config.seeds());
+        all.addAll(seedsFile.read());
+        return all;
+    }
+
+    @Override
+    public void changed(Update before, Update now) {
+        changes.changed(now(), before, now);
+    }
+
+    @Override
+    public void say(String line) {
+        log.accept("fleet: " + line);
+    }
+
+    /** This process says of itself that it is in another phase. */
+    public void phase(Profile.Phase phase) {
+        if (profile.phase() != phase && !closed) {
+            profile = profile.in(phase);
+            membership.describe(now(), profile);
+            plan();
+        }
+    }
+
+    /** Tells the others at once that this process goes; it still answers until {@link #close}. */
+    public void leave() {
+        if (!closed) {
+            membership.leave(now());
+            plan();
+        }
+    }
+
+    /** What this process sees, as one line of JSON. */
+    public String members() {
+        return ViewJson.of(config.fleet(), membership.view(now()), transport.counts());
+    }
+
+    /** Listens no more. */
+    public void close() {
+        closed = true;
+        if (alarm != null) {
+            alarm.cancel(false);
+        }
+        transport.close();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/host/Transport.java
@@ -0,0 +1,214 @@
+package mapleroute.fleet.host;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import mapleroute.fleet.wire.Addresses;
+import mapleroute.fleet.wire.MessageCodec;
+
+/**
+ * Carries messages: a datagram each, or where one may be too long for that, a connection each, with four
+ * bytes that tell the length. Nothing waits: what cannot be sent is lost, as the protocol expects.
+ */
+final class Transport {
+
+    /** Connections that may come in at once; strangers may hold them, and members try again. */
+    private static final int MOST_INCOMING = 6;
+    private static final int MOST_OUTGOING = 6;
+    /** A whole table takes milliseconds; who holds a connection longer is a stranger or cut off. */
+    private static final int CONNECTION_MS = 3000;
+    /** A datagram that is longer is cut, and is none of ours. */
+    private static final int READ_BYTES = 2048;
+    /** Ports to try for one that is free on both UDP and TCP. */
+    private static final int TRIES = 20;
+
+    private final EventLoop loop;
+    private final ByteBufAllocator buffers;
+    private final Consumer<byte[]> received;
+    private final Map<String, Long> counts = new TreeMap<>();
+    private Channel datagrams;
+    private Channel listener;
+    private int incoming;
+    private int outgoing;
+
+    Transport(EventLoop loop, ByteBufAllocator buffers, Consumer<byte[]> received) {
+        this.loop = loop;
+        this.buffers = buffers;
+        this.received = received;
+    }
+
+    /**
+     * Listens on UDP and TCP at one port. Where it is taken, as by the process before this one in an upgrade,
+     * any other port will do, since members tell each other where they are.
+     */
+    void listen(InetSocketAddress address) throws IOException {
+        Throwable why = null;
+        for (int i = 0; i < TRIES; i++) {
+            ChannelFuture tcp = server().bind(i == 0 ? address
+                : new InetSocketAddress(address.getAddress(), 0)).awaitUninterruptibly();
+            if (!tcp.isSuccess()) {
+                why = tcp.cause();
+                continue;
+            }
+            ChannelFuture udp = new Bootstrap().group(loop).channel(NioDatagramChannel.class)
+                .option(ChannelOption.ALLOCATOR, buffers)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
+                .handler(new Datagrams()).bind(tcp.channel().localAddress()).awaitUninterruptibly();
+            if (udp.isSuccess()) {
+                listener = tcp.channel();
+                datagrams = udp.channel();
+                return;
+            }
+            why = udp.cause();
+            tcp.channel().close();
+        }
+        throw new IOException("the fleet cannot listen on " + address + ": " + why.getMessage(), why);
+    }
+
+    private ServerBootstrap server() {
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.ALLOCATOR, buffers)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel channel) {
+                    if (incoming >= MOST_INCOMING) {
+                        count("refused connections");
+                        channel.close();
+                        return;
+                    }
+                    incoming++;
+                    channel.closeFuture().addListener(closed -> incoming--);
+                    loop.schedule(() -> channel.close(), CONNECTION_MS, TimeUnit.MILLISECONDS);
+                    channel.pipeline().addLast(
+                        new LengthFieldBasedFrameDecoder(MessageCodec.MOST_TABLE, 0, 4, 0, 4),
+                        new Whole());
+                }
+            });
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) datagrams.localAddress();
+    }
+
+    void datagram(String to, byte[] bytes) {
+        if (bytes.length > MessageCodec.MOST_DATAGRAM) {
+            count("datagrams too long to send");
+            return;
+        }
+        count("datagrams out");
+        count("bytes out", bytes.length);
+        datagrams.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), Addresses.of(to)))
+            .addListener(sent -> {
+                if (!sent.isSuccess()) {
+                    count("datagrams not sent");
+                }
+            });
+    }
+
+    void whole(String to, byte[] bytes) {
+        if (outgoing >= MOST_OUTGOING || bytes.length > MessageCodec.MOST_TABLE) {
+            count("exchanges not begun");
+            return;
+        }
+        outgoing++;
+        count("exchanges out");
+        count("bytes out", bytes.length);
+        new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.ALLOCATOR, buffers)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECTION_MS)
+            .localAddress(new InetSocketAddress(address().getAddress(), 0))
+            .handler(new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel channel) {
+                    channel.closeFuture().addListener(closed -> outgoing--);
+                    loop.schedule(() -> channel.close(), CONNECTION_MS, TimeUnit.MILLISECONDS);
+                }
+            })
+            .connect(Addresses.of(to)).addListener((ChannelFuture connected) -> {
+                if (connected.isSuccess()) {
+                    connected.channel().writeAndFlush(Unpooled.wrappedBuffer(
+                        Unpooled.copyInt(bytes.length), Unpooled.wrappedBuffer(bytes)))
+                        .addListener(ChannelFutureListener.CLOSE);
+                } else {
+                    count("exchanges not connected");
+                }
+            });
+    }
+
+    private final class Datagrams extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            count("datagrams in");
+            take(packet.content());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // As a refused port far away, which says nothing about this socket.
+            count("datagram errors");
+        }
+    }
+
+    private final class Whole extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+            count("exchanges in");
+            take(frame);
+            ctx.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            count("broken exchanges");
+            ctx.close();
+        }
+    }
+
+    private void take(ByteBuf content) {
+        byte[] bytes = new byte[content.readableBytes()];
+        content.readBytes(bytes);
+        count("bytes in", bytes.length);
+        received.accept(bytes);
+    }
+
+    void count(String what) {
+        count(what, 1);
+    }
+
+    private void count(String what, long by) {
+        counts.merge(what, by, Long::sum);
+    }
+
+    Map<String, Long> counts() {
+        return counts;
+    }
+
+    void close() {
+        datagrams.close();
+        listener.close();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/host/ViewJson.java
@@ -0,0 +1,72 @@
+package mapleroute.fleet.host;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.util.Locale;
+import java.util.Map;
+import mapleroute.fleet.member.Profile;
+import mapleroute.fleet.member.Update;
+import mapleroute.fleet.member.View;
+
+/** A view as one line of JSON. */
+final class ViewJson {
+
+    private static final JsonFactory FACTORY = new JsonFactory();
+
+    private ViewJson() {
+    }
+
+    static String of(String fleet, View view, Map<String, Long> counts) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = FACTORY.createGenerator(text)) {
+            out.writeStartObject();
+            out.writeStringField("fleet", fleet);
+            out.writeStringField("name", view.name());
+            out.writeNumberField("epoch", view.epoch());
+            out.writeStringField("digest", Long.toHexString(view.digest()));
+            out.writeNumberField("present", view.present());
+            out.writeNumberField("same", view.same());
+            out.writeNumberField("other", view.other());
+            out.writeNumberField("agreed", view.agreed());
+            out.writeBooleanField("majority", view.majority());
+            out.writeBooleanField("superseded", view.superseded());
+            out.writeNumberField("health", view.health());
+            out.writeObjectFieldStart("counts");
+            for (Map.Entry<String, Long> count : counts.entrySet()) {
+                out.writeNumberField(count.getKey(), count.getValue());
+            }
+            out.writeEndObject();
+            out.writeArrayFieldStart("members");
+            for (View.Member member : view.members()) {
+                write(out, member);
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory cannot fail", e);
+        }
+        return text.toString();
+    }
+
+    private static void write(JsonGenerator out, View.Member member) throws IOException {
+        Update held = member.held();
+        Profile profile = held.profile();
+        out.writeStartObject();
+        out.writeStringField("name", held.name());
+        out.writeStringField("address", held.address());
+        out.writeStringField("state", held.state().name().toLowerCase(Locale.ROOT));
+        out.writeNumberField("incarnation", held.incarnation());
+        out.writeStringField("run", Long.toHexString(held.run()));
+        out.writeNumberField("since_ms", (long) member.sinceMs());
+        if (profile != null) {
+            out.writeStringField("phase", profile.phase().name().toLowerCase(Locale.ROOT));
+            out.writeStringField("zone", profile.zone());
+            out.writeStringField("tier", profile.tier());
+            out.writeStringField("version", profile.version());
+            out.writeStringField("door", profile.door());
+        }
+        out.writeEndObject();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/member/Membership.java
@@ -0,0 +1,318 @@
+package mapleroute.fleet.member;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+
+/**
+ * Membership of one process after SWIM (Das, Gupta, Motivala 2002) with the additions of Lifeguard (Dadgar,
+ * Phillips, Currey 2018). It does no I/O and reads no clock: it is told the time, in milliseconds of one
+ * clock that never goes back, with each thing that happens. Not for several threads.
+ */
+public final class Membership {
+
+    /** What fits a datagram beside its head, within 1,400 bytes. */
+    private static final int NEWS_BYTES = 1100;
+    /** So many are told at once of a leave, each in a datagram of its own: a few may be lost. */
+    private static final int LEAVE_FANOUT = 8;
+    /** The dead are looked through this often for those to be forgotten. */
+    private static final double FORGET_EVERY_MS = 5000;
+    /** A process of the same name that answers none of so many probes is gone. */
+    private static final int SUCCESSOR_PROBES = 8;
+
+    private final Tuning tuning;
+    private final Self self;
+    private final MemberTable table = new MemberTable();
+    private final Rumours rumours;
+    private final Suspicions suspicions;
+    private final Health health = new Health();
+    private final Agreement agreement = new Agreement(table);
+    private final Claims claims;
+    private final Prober prober;
+    private final AntiEntropy antiEntropy;
+    private final Port port;
+    private final SplittableRandom random;
+    private double gossipMs;
+    private double forgetMs;
+    private double dueMs;
+    /** While another process of this name is the member: when it is probed next, and how often in vain. */
+    private double successorMs;
+    private int unanswered;
+
+    /**
+     * Begins to take part.
+     *
+     * @param now the time
+     * @param address where others reach this process, IP:port
+     * @param seed for what is drawn at random; two processes of one name must not share it
+     */
+    public Membership(Tuning tuning, String name, String address, Profile profile, long seed, Port port,
+            double now) {
+        if (!Profile.isWord(name) || !Profile.isWord(address)) {
+            throw new IllegalArgumentException("not a usable name and address: " + name + ", " + address);
+        }
+        this.tuning = tuning;
+        this.port = port;
+        random = new SplittableRandom(seed);
+        self = new Self(name, address, random.nextLong() >>> 1, profile);
+        rumours = new Rumours(tuning.spread());
+        suspicions = new Suspicions(tuning);
+        Port heard = new Changes();
+        claims = new Claims(tuning, self, table, rumours, suspicions, health, agreement, heard, random);
+        prober = new Prober(tuning, self, table, health, claims, this::send, random, now);
+        antiEntropy = new AntiEntropy(tuning, self, table, claims, port, new AntiEntropy.Sender() {
+            @Override
+            public void ping(Update target) {
+                Membership.this.send(Message.Kind.PING, target.name(), target.address(), 0, target.name(),
+                    "");
+            }
+
+            @Override
+            public void send(Message.Kind kind, String address, List<Long> buckets, List<Update> updates) {
+                port.send(address, new Message(kind, self.name, self.address, self.run, 0, "", "",
+                    table.viewDigest(), buckets, updates), true);
+            }
+        }, random, now);
+        gossipMs = now;
+        forgetMs = now + FORGET_EVERY_MS;
+        dueMs = now;
+        claims.sayOfSelf(now);
+    }
+
+    /** A new member is probed in its turn; all else goes on to the host. */
+    private final class Changes implements Port {
+        @Override
+        public void send(String address, Message message, boolean whole) {
+            port.send(address, message, whole);
+        }
+
+        @Override
+        public List<String> seeds() {
+            return port.seeds();
+        }
+
+        @Override
+        public void changed(Update before, Update now) {
+            if (before == null && now.state().isPresent()) {
+                prober.joined(now.name());
+            }
+            port.changed(before, now);
+        }
+
+        @Override
+        public void say(String line) {
+            port.say(line);
+        }
+    }
+
+    /** Does what is due; {@link #nextMs} tells when to call again. */
+    public void advance(double now) {
+        enter(now);
+        if (self.successor() == null) {
+            claims.timeOver(now);
+            if (!self.isLeaving()) {
+                prober.advance(now);
+                antiEntropy.advance(now);
+            }
+            agreement.settle(now);
+        } else {
+            watchSuccessor(now);
+        }
+        if (now >= gossipMs) {
+            gossipMs = now + tuning.gossipMs();
+            gossip(tuning.fanout());
+        }
+        if (now >= forgetMs) {
+            forgetMs = now + FORGET_EVERY_MS;
+            claims.forget(now);
+        }
+        dueMs = nextMs();
+    }
+
+    /** Takes up what another process sent. */
+    public void receive(double now, Message message) {
+        enter(now);
+        if (message.run() == self.run) {
+            return;
+        }
+        MemberTable.Entry from = table.get(message.from());
+        if (from != null && from.held.run() == message.run()) {
+            from.toldView = message.digest();
+            from.toldViewMs = now;
+        }
+        boolean whole = message.kind().isWhole();
+        if (!whole) {
+            for (Update update : message.updates()) {
+                String suspect = claims.hear(now, update, false);
+                if (suspect != null && self.successor() == null && !self.isLeaving()) {
+                    prober.look(now, suspect);
+                }
+            }
+        }
+        switch (message.kind()) {
+            case PING -> {
+                // Another process may have come to the address of one that is gone.
+                if (message.target().equals(self.name)) {
+                    send(Message.Kind.ACK, message.from(), message.address(), message.sequence(), "", "");
+                }
+            }
+            case ACK -> {
+                if (self.successor() != null) {
+                    unanswered = 0;
+                }
+                prober.acknowledged(message);
+            }
+            case NACK -> prober.notAcknowledged(message);
+            case PING_REQUEST -> prober.errand(now, message);
+            case GOSSIP -> {
+            }
+            case SYNC_ASK -> antiEntropy.asked(now, message);
+            case SYNC_REPLY -> antiEntropy.replied(now, message);
+            case SYNC_PUSH -> antiEntropy.pushed(now, message);
+            default -> throw new IllegalStateException("no such kind: " + message.kind());
+        }
+        boolean differs = !whole && message.digest() != table.viewDigest() && rumours.isEmpty();
+        if (differs && self.successor() == null && !self.isLeaving() && !message.from().equals(self.name)) {
+            antiEntropy.differs(now, message.address());
+        }
+        dueMs = nextMs();
+    }
+
+    /**
+     * A process that did not run for longer than a probe takes (paused, starved) has missed answers: it
+     * blames nobody for that time.
+     */
+    private void enter(double now) {
+        double late = now - dueMs;
+        if (late > tuning.periodMs()) {
+            suspicions.putOff(late);
+            prober.forget();
+            health.worse(1);
+            antiEntropy.hurry(now);
+            port.say(String.format(Locale.ROOT, "this process did not run for %.1f s", late / 1000));
+        }
+        dueMs = Math.max(dueMs, now);
+    }
+
+    private void watchSuccessor(double now) {
+        if (now < successorMs) {
+            return;
+        }
+        successorMs = now + tuning.periodMs();
+        Update successor = self.successor();
+        if (++unanswered <= SUCCESSOR_PROBES) {
+            send(Message.Kind.PING, successor.name(), successor.address(), 0, successor.name(), "");
+            return;
+        }
+        unanswered = 0;
+        self.comeBack();
+        claims.sayOfSelf(now);
+        port.say("the process that took this one's place is gone; this one is the member again");
+    }
+
+    private void send(Message.Kind kind, String to, String address, long sequence, String target,
+            String targetAddress) {
+        List<Update> updates = new ArrayList<>();
+        int room = NEWS_BYTES;
+        MemberTable.Entry entry = table.get(to);
+        boolean toSelf = to.equals(self.name);
+        if (entry != null && !toSelf && entry.held.state() != State.ALIVE) {
+            // Whoever is suspected or held dead must know, to speak against it.
+            Update claim = entry.held.brief();
+            updates.add(claim);
+            room -= claim.weight();
+        }
+        if (self.successor() == null) {
+            updates.addAll(rumours.next(room, table.present(), updates.isEmpty() ? null : to));
+        }
+        port.send(address, new Message(kind, self.name, self.address, self.run, sequence, target,
+            targetAddress, table.viewDigest(), List.of(), updates), false);
+    }
+
+    private void gossip(int fanout) {
+        if (rumours.isEmpty() || self.successor() != null) {
+            return;
+        }
+        List<Update> present = new ArrayList<>();
+        for (MemberTable.Entry entry : table.all()) {
+            if (entry.held.state().isPresent() && !entry.held.name().equals(self.name)) {
+                present.add(entry.held);
+            }
+        }
+        for (int i = 0; i < fanout && !present.isEmpty() && !rumours.isEmpty(); i++) {
+            Update to = present.remove(random.nextInt(present.size()));
+            send(Message.Kind.GOSSIP, to.name(), to.address(), 0, "", "");
+        }
+    }
+
+    /** What this process says of itself is another from now on. */
+    public void describe(double now, Profile next) {
+        enter(now);
+        if (self.successor() == null && !self.isLeaving() && !next.equals(self.profile())) {
+            self.describe(next);
+            claims.sayOfSelf(now);
+        }
+        dueMs = nextMs();
+    }
+
+    /** Leaves, and says so at once; it goes on to answer until its host ends it. */
+    public void leave(double now) {
+        enter(now);
+        if (self.successor() == null && !self.isLeaving()) {
+            self.leave();
+            claims.sayOfSelf(now);
+            gossip(LEAVE_FANOUT);
+        }
+        dueMs = nextMs();
+    }
+
+    /** When {@link #advance} is to be called next, on the clock that this process is told. */
+    public double nextMs() {
+        double next = Math.min(Math.min(prober.nextMs(), antiEntropy.nextMs()), suspicions.nextMs());
+        if (self.successor() != null) {
+            next = successorMs;
+        } else if (self.isLeaving()) {
+            next = Double.POSITIVE_INFINITY;
+        }
+        if (!rumours.isEmpty() && self.successor() == null) {
+            next = Math.min(next, gossipMs);
+        }
+        return Math.min(next, forgetMs);
+    }
+
+    /** What this process sees. */
+    public View view(double now) {
+        int same = 0;
+        int other = 0;
+        List<View.Member> members = new ArrayList<>();
+        for (MemberTable.Entry entry : table.all()) {
+            members.add(new View.Member(entry.held, now - entry.sinceMs));
+            if (entry.held.state().isPresent() && now - entry.toldViewMs <= Agreement.FRESH_MS) {
+                if (entry.toldView == table.viewDigest()) {
+                    same++;
+                } else {
+                    other++;
+                }
+            }
+        }
+        return new View(self.name, table.epoch(), table.viewDigest(), health.score(), same, other,
+            agreement.size(), agreement.isMajority(), self.successor() != null, members);
+    }
+
+    /** The digest of the present view; cheaper than the view. */
+    public long viewDigest() {
+        return table.viewDigest();
+    }
+
+    /** What is held of a member, or null. */
+    public Update held(String name) {
+        MemberTable.Entry entry = table.get(name);
+        return entry == null ? null : entry.held;
+    }
+
+    /** Claims about members that were too far ahead to be true, and were not taken up. */
+    public long implausible() {
+        return claims.implausible();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/member/Self.java
@@ -0,0 +1,105 @@
+package mapleroute.fleet.member;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * Who this process is to the others. It alone raises its incarnation. Of two processes of one name, as there
+ * are in an upgrade, the one that came later is the member, and the other keeps still until that one is gone.
+ */
+final class Self {
+
+    final String name;
+    final String address;
+    final long run;
+    private long incarnation = 1;
+    private Profile profile;
+    /** It has exchanged tables with a member, so it knows what was held of its name before. */
+    private boolean established;
+    private boolean leaving;
+    /** Processes of this name that came before this one. */
+    private final Set<Long> replaced = new HashSet<>();
+    /** The process that is the member in place of this one, or null. */
+    private Update successor;
+
+    Self(String name, String address, long run, Profile profile) {
+        this.name = name;
+        this.address = address;
+        this.run = run;
+        this.profile = profile;
+    }
+
+    Update claim() {
+        return new Update(name, address, incarnation, run, leaving ? State.LEFT : State.ALIVE, "", profile,
+            0);
+    }
+
+    /**
+     * Hears what others hold of this process.
+     *
+     * @return whether there is something to tell them
+     */
+    boolean hear(Update told) {
+        if (told.run() == run) {
+            if (leaving || told.incarnation() < incarnation
+                    || told.incarnation() == incarnation && told.state() == State.ALIVE) {
+                return false;
+            }
+            incarnation = told.incarnation() + 1;
+            return true;
+        }
+        if (told.incarnation() < incarnation) {
+            return true;
+        }
+        boolean isBefore = !established || replaced.contains(told.run()) || told.address().equals(address)
+            || !told.state().isPresent();
+        if (isBefore || leaving) {
+            replaced.add(told.run());
+            incarnation = told.incarnation() + 1;
+            return true;
+        }
+        if (!told.isLaterThan(claim())) {
+            return true;
+        }
+        successor = told;
+        return false;
+    }
+
+    void established() {
+        established = true;
+    }
+
+    boolean isEstablished() {
+        return established;
+    }
+
+    void describe(Profile next) {
+        profile = next;
+        incarnation++;
+    }
+
+    Profile profile() {
+        return profile;
+    }
+
+    /** Leaves by its own word; whoever is only a predecessor has nothing to say. */
+    void leave() {
+        leaving = true;
+        incarnation++;
+    }
+
+    boolean isLeaving() {
+        return leaving;
+    }
+
+    Update successor() {
+        return successor;
+    }
+
+    /** The successor is gone: this process is the member again. */
+    void comeBack() {
+        replaced.add(successor.run());
+        incarnation = successor.incarnation() + 1;
+        successor = null;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/wire/MessageCodec.java
@@ -0,0 +1,296 @@
+package mapleroute.fleet.wire;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import mapleroute.fleet.member.Message;
+import mapleroute.fleet.member.Profile;
+import mapleroute.fleet.member.State;
+import mapleroute.fleet.member.Update;
+
+/**
+ * Messages as CBOR (RFC 8949). A message is a map with short keys; keys that are not known are passed over,
+ * so a later version may add some. {@code v} is the version that wrote it, {@code c} the oldest that can read
+ * it.
+ */
+public final class MessageCodec {
+
+    /** The version written here. */
+    public static final int VERSION = 1;
+    /** The oldest version that can read what is written here. */
+    private static final int COMPATIBLE = 1;
+    /** A datagram's bytes at most: what passes an Ethernet in one piece, with room for tunnels. */
+    public static final int MOST_DATAGRAM = 1400;
+    /** A table's bytes at most, some 4,000 members. */
+    public static final int MOST_TABLE = 512 << 10;
+    /** More updates than this are no table of a fleet that this is made for. */
+    private static final int MOST_UPDATES = 20_000;
+
+    private static final CBORFactory FACTORY = new CBORFactory();
+    private static final Message.Kind[] KINDS = Message.Kind.values();
+    private static final State[] STATES = State.values();
+    private static final Profile.Phase[] PHASES = Profile.Phase.values();
+
+    private final String fleet;
+
+    /** Messages of the fleet of this name, and of no other. */
+    public MessageCodec(String fleet) {
+        this.fleet = fleet;
+    }
+
+    /** The bytes of a message. */
+    public byte[] encode(Message message) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+        try (CBORGenerator out = FACTORY.createGenerator(bytes)) {
+            out.writeStartObject();
+            number(out, "v", VERSION);
+            number(out, "c", COMPATIBLE);
+            out.writeStringField("f", fleet);
+            number(out, "k", message.kind().ordinal());
+            out.writeStringField("n", message.from());
+            out.writeStringField("a", message.address());
+            number(out, "r", message.run());
+            number(out, "s", message.sequence());
+            text(out, "t", message.target());
+            text(out, "ta", message.targetAddress());
+            number(out, "d", message.digest());
+            if (!message.buckets().isEmpty()) {
+                out.writeArrayFieldStart("b");
+                for (long bucket : message.buckets()) {
+                    out.writeNumber(bucket);
+                }
+                out.writeEndArray();
+            }
+            if (!message.updates().isEmpty()) {
+                out.writeArrayFieldStart("u");
+                for (Update update : message.updates()) {
+                    write(out, update);
+                }
+                out.writeEndArray();
+            }
+            out.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory cannot fail", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static void number(CBORGenerator out, String key, long value) throws IOException {
+        out.writeFieldName(key);
+        out.writeNumber(value);
+    }
+
+    private static void text(CBORGenerator out, String key, String value) throws IOException {
+        if (!value.isEmpty()) {
+            out.writeStringField(key, value);
+        }
+    }
+
+    private static void write(CBORGenerator out, Update update) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("n", update.name());
+        out.writeStringField("a", update.address());
+        number(out, "i", update.incarnation());
+        number(out, "r", update.run());
+        number(out, "s", update.state().ordinal());
+        text(out, "b", update.by());
+        if (update.ageMs() != 0) {
+            number(out, "o", update.ageMs());
+        }
+        Profile profile = update.profile();
+        if (profile != null) {
+            out.writeObjectFieldStart("p");
+            text(out, "z", profile.zone());
+            text(out, "t", profile.tier());
+            text(out, "v", profile.version());
+            number(out, "h", profile.phase().ordinal());
+            text(out, "d", profile.door());
+            out.writeEndObject();
+        }
+        out.writeEndObject();
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @throws BadMessage whatever the bytes are, if they are no message of this fleet and a version that can
+     *     be read
+     */
+    public Message decode(byte[] bytes) throws BadMessage {
+        try (JsonParser in = FACTORY.createParser(bytes)) {
+            if (in.nextToken() != JsonToken.START_OBJECT) {
+                throw new BadMessage("not a message");
+            }
+            return read(in);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new BadMessage("not a whole message");
+        }
+    }
+
+    private Message read(JsonParser in) throws IOException, BadMessage {
+        int compatible = -1;
+        String of = "";
+        Message.Kind kind = null;
+        String from = "";
+        String address = "";
+        long run = -1;
+        long sequence = 0;
+        String target = "";
+        String targetAddress = "";
+        long digest = 0;
+        List<Long> buckets = List.of();
+        List<Update> updates = List.of();
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String key = in.currentName();
+            in.nextToken();
+            switch (key) {
+                case "c" -> compatible = in.getIntValue();
+                case "f" -> of = in.getText();
+                case "k" -> kind = one(KINDS, in);
+                case "n" -> from = word(in);
+                case "a" -> address = address(in);
+                case "r" -> run = in.getLongValue();
+                case "s" -> sequence = in.getLongValue();
+                case "t" -> target = word(in);
+                case "ta" -> targetAddress = address(in);
+                case "d" -> digest = in.getLongValue();
+                case "b" -> buckets = buckets(in);
+                case "u" -> updates = updates(in);
+                default -> in.skipChildren();
+            }
+        }
+        if (compatible < 0 || from.isEmpty() || address.isEmpty() || run < 0) {
+            throw new BadMessage("not a whole message");
+        }
+        if (!of.equals(fleet)) {
+            throw new BadMessage("of another fleet");
+        }
+        if (compatible > VERSION) {
+            throw new BadMessage("of a version that this one cannot read");
+        }
+        boolean wantsTarget = kind == Message.Kind.PING || kind == Message.Kind.PING_REQUEST;
+        if (kind == null || wantsTarget && target.isEmpty()
+                || kind == Message.Kind.PING_REQUEST && targetAddress.isEmpty()) {
+            throw new BadMessage("not a whole message");
+        }
+        return new Message(kind, from, address, run, sequence, target, targetAddress, digest, buckets,
+            updates);
+    }
+
+    private static <T> T one(T[] all, JsonParser in) throws IOException, BadMessage {
+        int number = in.getIntValue();
+        if (number < 0 || number >= all.length) {
+            throw new BadMessage("a word that is not known");
+        }
+        return all[number];
+    }
+
+    private static String word(JsonParser in) throws IOException, BadMessage {
+        String text = in.currentToken() == JsonToken.VALUE_STRING ? in.getText() : "";
+        if (!Profile.isWord(text)) {
+            throw new BadMessage("a name that cannot be one");
+        }
+        return text;
+    }
+
+    /** An IP address and a port: no name is ever looked up, as that would wait. */
+    private static String address(JsonParser in) throws IOException, BadMessage {
+        String text = word(in);
+        if (!Addresses.isAddress(text)) {
+            throw new BadMessage("an address that cannot be one");
+        }
+        return text;
+    }
+
+    private static List<Long> buckets(JsonParser in) throws IOException, BadMessage {
+        List<Long> buckets = new ArrayList<>();
+        if (in.currentToken() != JsonToken.START_ARRAY) {
+            throw new BadMessage("not a whole message");
+        }
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+            if (buckets.size() == 256) {
+                throw new BadMessage("a longer list than any");
+            }
+            buckets.add(in.getLongValue());
+        }
+        return buckets;
+    }
+
+    private static List<Update> updates(JsonParser in) throws IOException, BadMessage {
+        List<Update> updates = new ArrayList<>();
+        if (in.currentToken() != JsonToken.START_ARRAY) {
+            throw new BadMessage("not a whole message");
+        }
+        while (in.nextToken() != JsonToken.END_ARRAY) {
+            if (updates.size() == MOST_UPDATES) {
+                throw new BadMessage("a longer list than any");
+            }
+            updates.add(update(in));
+        }
+        return updates;
+    }
+
+    private static Update update(JsonParser in) throws IOException, BadMessage {
+        String name = "";
+        String address = "";
+        long incarnation = -1;
+        long run = -1;
+        State state = null;
+        String by = "";
+        Profile profile = null;
+        long age = 0;
+        if (in.currentToken() != JsonToken.START_OBJECT) {
+            throw new BadMessage("not a whole message");
+        }
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String key = in.currentName();
+            in.nextToken();
+            switch (key) {
+                case "n" -> name = word(in);
+                case "a" -> address = address(in);
+                case "i" -> incarnation = in.getLongValue();
+                case "r" -> run = in.getLongValue();
+                case "s" -> state = one(STATES, in);
+                case "b" -> by = word(in);
+                case "p" -> profile = profile(in);
+                case "o" -> age = in.getLongValue();
+                default -> in.skipChildren();
+            }
+        }
+        boolean whole = !name.isEmpty() && !address.isEmpty() && state != null && run >= 0 && age >= 0
+            && incarnation > 0 && incarnation <= Update.MOST_INCARNATION;
+        if (!whole) {
+            throw new BadMessage("a claim that is not whole");
+        }
+        return new Update(name, address, incarnation, run, state, by, profile, age);
+    }
+
+    private static Profile profile(JsonParser in) throws IOException, BadMessage {
+        String zone = "";
+        String tier = "";
+        String version = "";
+        String door = "";
+        Profile.Phase phase = Profile.Phase.STARTING;
+        if (in.currentToken() != JsonToken.START_OBJECT) {
+            throw new BadMessage("not a whole message");
+        }
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String key = in.currentName();
+            in.nextToken();
+            switch (key) {
+                case "z" -> zone = word(in);
+                case "t" -> tier = word(in);
+                case "v" -> version = word(in);
+                case "h" -> phase = one(PHASES, in);
+                case "d" -> door = word(in);
+                default -> in.skipChildren();
+            }
+        }
+        return new Profile(zone, tier, version, phase, door);
+    }
+}
--- a/lab/src/test/java/mapleroute/lab/ArchitectureTest.java
+++ b/lab/src/test/java/mapleroute/lab/ArchitectureTest.java
@@ -2,6 +2,7 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -17,8 +18,8 @@
 class ArchitectureTest {
 
     private static final JavaClasses ALL = new ClassFileImporter().importPaths(
-        Path.of("../decisions/target/classes"), Path.of("../sidecar/target/classes"),
-        Path.of("target/classes"));
+        Path.of("../decisions/target/classes"), Path.of("../fleet/target/classes"),
+        Path.of("../sidecar/target/classes"), Path.of("target/classes"));
 
     @Test
     void theDecisionsUseNothingButTheLanguageAndTheParser() {
@@ -41,6 +42,36 @@
             .should().dependOnClassesThat().resideInAPackage("mapleroute.lab..").check(ALL);
     }
 
+    /** The fleet's parts stand apart: they know neither the decisions nor whoever uses them. */
+    @Test
+    void theFleetStandsApart() {
+        noClasses().that().resideInAPackage("mapleroute.fleet..")
+            .should().dependOnClassesThat().haveNameMatching("mapleroute\\.(?!fleet\\.).*").check(ALL);
+        noClasses().that().haveNameMatching("mapleroute\\.(Decide|Contract|SettingsReader).*")
+            .should().dependOnClassesThat().resideInAPackage("mapleroute.fleet..").check(ALL);
+    }
+
+    /** State machines do no I/O and read no clock, so that they run alike on sockets and in the lab. */
+    @Test
+    void theFleetsStateMachinesUseTheLanguageAlone() {
+        classes().that().resideInAPackage("mapleroute.fleet.member..")
+            .should().onlyDependOnClassesThat().haveNameMatching(
+            "(java\\.(lang|util|security|nio\\.charset)\\..*|java\\.nio\\.[A-Za-z]*Buffer"
+                + "|mapleroute\\.fleet\\.member\\..*|\\[.*)")
+            .check(ALL);
+        noClasses().that().resideInAPackage("mapleroute.fleet.member..")
+            .should().callMethod(System.class, "nanoTime").orShould()
+            .callMethod(System.class, "currentTimeMillis").check(ALL);
+        slices().matching("mapleroute.fleet.(*)..").should().beFreeOfCycles().check(ALL);
+    }
+
+    @Test
+    void inASidecarOnePartAloneKnowsOfTheFleet() {
+        noClasses().that().resideInAPackage("mapleroute.sidecar..").and()
+            .haveNameNotMatching("mapleroute\\.sidecar\\.FleetPart.*")
+            .should().dependOnClassesThat().resideInAPackage("mapleroute.fleet..").check(ALL);
+    }
+
     @Test
     void theLabUsesTheDecisionsAndNothingOfTheSidecar() {
         noClasses().that().resideInAPackage("mapleroute.lab..")
--- a/sidecar/src/main/java/mapleroute/sidecar/ManagementServer.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/ManagementServer.java
@@ -30,6 +30,8 @@
 
     /** A call with the longest id that a list is likely to name. */
     private static final int LONGEST_LINE = 512;
+    /** What is logged of an answer: one that lists a fleet has kilobytes. */
+    private static final int LONGEST_LOGGED = 200;
     /** Callers at once, from the descriptors kept apart; a further one takes the oldest one's place. */
     private static final int MOST_CALLERS = 12;
     /** As for clients: a peer that sends nothing whole must have an error or a close within 3 s. */
@@ -46,6 +48,9 @@
         String standby();
 
         String active();
+
+        /** Who is present, as one line of JSON; null where there is no fleet. */
+        String members();
     }
 
     private final EventLoop loop;
@@ -85,6 +90,10 @@
 
     private String answer(String line) {
         String[] words = line.trim().split("\\s+");
+        if (words.length == 1 && words[0].equals("members")) {
+            String members = operated.members();
+            return members == null ? "error this process is in no fleet" : "done " + members;
+        }
         String refused = words.length > 2 ? UNKNOWN : words.length == 2
             ? switch (words[0]) {
                 case "maint-on" -> operated.maintain(words[1], true);
@@ -120,7 +129,8 @@
             }
             String call = line.toString(StandardCharsets.UTF_8);
             String answer = answer(call);
-            complaints.say("management: " + call + ": " + answer);
+            complaints.say("management: " + call + ": "
+                + (answer.length() > LONGEST_LOGGED ? answer.substring(0, LONGEST_LOGGED) + "..." : answer));
             end(ctx, answer);
         }
 
--- a/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -80,10 +80,9 @@
     private DiscoveryClient discovery;
     private Frontend frontend;
     private ManagementServer management;
-    /** Null where nothing is kept. */
-    private MaintenanceFiles kept;
-    /** What the files told last. */
-    private Set<String> inMaintenance = new TreeSet<>();
+    private Maintenance maintenance;
+    /** Null where the configuration names no fleet: then nothing of it is loaded. */
+    private volatile FleetPart fleet;
     private volatile SidecarConfig config;
     private EndpointPool endpoints;
     private int sockets;
@@ -118,6 +117,10 @@
             if (inherited.listener() != null) {
                 sidecar.follow(inherited.folder());
             }
+            if (config.fleet() != null) {
+                sidecar.fleet = FleetPart.start(sidecar.loop, config, sidecar.managementText(),
+                    sidecar::phase, sidecar.complaints);
+            }
             sidecar.warm(config, log);
             return sidecar;
         } catch (InterruptedException e) {
@@ -160,8 +163,8 @@
                 exchange.failed();
             }
         }, config.known().version());
-        kept = inherited.folder() == null ? null : new MaintenanceFiles(inherited.folder(), complaints);
-        restoreMaintenance();
+        maintenance = new Maintenance(exchange, complaints, inherited.folder());
+        maintenance.restore();
         frontend = new Frontend(loop, clock, complaints, exchange, config.settings(), half,
             config.memoryMb() * HELD_PER_MB);
         management = new ManagementServer(loop, complaints, new Operators());
@@ -198,7 +201,7 @@
     }
 
     private void follow(Handover other) {
-        followMaintenance();
+        maintenance.follow();
         int half = half(other.othersDescriptors());
         frontend.bound(half);
         endpoints.bound(half);
@@ -211,41 +214,6 @@
         }
     }
 
-    private void followMaintenance() {
-        try {
-            Set<String> said = kept.read();
-            for (String id : said) {
-                if (!inMaintenance.contains(id)) {
-                    exchange.maintain(id, true);
-                    complaints.say("in maintenance by the files: " + id);
-                }
-            }
-            for (String id : inMaintenance) {
-                if (!said.contains(id)) {
-                    exchange.maintain(id, false);
-                    complaints.say("back from maintenance by the files: " + id);
-                }
-            }
-            inMaintenance = said;
-        } catch (IOException e) {
-            complaints.log("what the other process was told of maintenance is not known", e);
-        }
-    }
-
-    private void restoreMaintenance() {
-        try {
-            if (kept != null) {
-                inMaintenance = kept.read();
-            }
-            for (String id : inMaintenance) {
-                exchange.maintain(id, true);
-                complaints.say("in maintenance by the files: " + id);
-            }
-        } catch (IOException e) {
-            complaints.log("what was in maintenance before the start is not known", e);
-        }
-    }
-
     private void warm(SidecarConfig config, PrintStream log) {
         long began = System.nanoTime();
         loop.execute(() -> new Warmup(loop, config, rounds -> {
@@ -265,6 +233,9 @@
         CountDownLatch empty = new CountDownLatch(1);
         loop.execute(() -> {
             complaints.say("draining, with " + exchange.openRequests() + " requests in hand");
+            if (fleet != null) {
+                fleet.leave();
+            }
             frontend.endIn(killMs);
             // Where another process listens too, clients do best to move there with their next answer.
             frontend.drain(shared ? 0 : (long) lastCallMs, (long) lastCallMs);
@@ -350,25 +321,12 @@
 
         @Override
         public String maintain(String id, boolean out) {
-            if (!exchange.hasNamed(id)) {
-                return "no list has named " + id;
-            }
-            exchange.maintain(id, out);
-            try {
-                if (kept != null) {
-                    kept.set(id, out);
-                    // As the files are now: the other process may change them before the next look.
-                    if (out) {
-                        inMaintenance.add(id);
-                    } else {
-                        inMaintenance.remove(id);
-                    }
-                }
-            } catch (IOException e) {
-                // It holds in this process, which is what was asked for.
-                complaints.log("maintenance will not outlast this process", e);
-            }
-            return null;
+            return maintenance.set(id, out);
+        }
+
+        @Override
+        public String members() {
+            return fleet == null ? null : fleet.members();
         }
 
         @Override
@@ -400,6 +358,17 @@
         return management.address();
     }
 
+    private String managementText() {
+        InetSocketAddress door = config.management() == null ? null : managementAddress();
+        return door == null ? "" : door.getAddress().getHostAddress() + ":" + door.getPort();
+    }
+
+    /** What the fleet is told of this process. */
+    private String phase() {
+        return frontend.isEnding() ? "DRAINING" : frontend.isDraining() ? "STANDBY"
+            : frontend.unready() == null ? "READY" : "STARTING";
+    }
+
     /** Ends everything at once. */
     void stop() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/sidecar/src/main/java/mapleroute/sidecar/SidecarConfig.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/SidecarConfig.java
@@ -20,6 +20,8 @@
  * What a sidecar is told at its start, read from the file that GW_CONFIG names.
  *
  * @param management where operators connect, or null where they have no door
+ * @param name of this sidecar, the same after a restart; or null, where it is in no fleet
+ * @param fleet the section of that name as it is told, or null
  * @param told the whole object as the file has it
  * @param sockets the descriptors that the process may hold
  * @param memoryMb the memory that the process may take
@@ -27,7 +29,8 @@
  */
 public record SidecarConfig(InetSocketAddress listen, InetSocketAddress management,
         InetSocketAddress discovery, long seed, int sockets, int memoryMb, double idleCloseMs,
-        ServerList.Names names, ServerList known, Settings settings, Map<?, ?> told) {
+        ServerList.Names names, ServerList known, Settings settings, String name, Map<?, ?> fleet,
+        Map<?, ?> told) {
 
     /** Reads the file; anything missing or bad is an exception whose message names field and value. */
     public static SidecarConfig read(Path file) throws IOException {
@@ -94,7 +97,8 @@
             (int) positive("limits.memory_mb", machine.get("memory_mb")),
             positive("settings.limits.idle-close-ms", limits.get("idle-close-ms")), names,
             ServerList.of(object("known", config.get("known")), names), SettingsReader.settings(settings),
-            config);
+            config.get("name") instanceof String name ? name : null,
+            config.get("fleet") == null ? null : object("fleet", config.get("fleet")), config);
     }
 
     private static long seed(Object value) {
--- a/sidecar/src/main/java/mapleroute/sidecar/Warmup.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Warmup.java
@@ -97,7 +97,8 @@
         ServerList list = new ServerList(0, true, List.of(new ServerList.Entry(
             new Server("warm-up", config.settings().ownZone(), 0, 0, 0, State.READY, 1), at)));
         SidecarConfig own = new SidecarConfig(ephemeral(), null, at, config.seed(), config.sockets(),
-            config.memoryMb(), config.idleCloseMs(), config.names(), list, config.settings(), config.told());
+            config.memoryMb(), config.idleCloseMs(), config.names(), list, config.settings(), null, null,
+            config.told());
         pool = new EndpointPool(loop, clock, silent, MOST_MS, config.idleCloseMs(), config.sockets());
         Exchange exchange = new Exchange(loop, clock, silent, pool, () -> { }, own);
         frontend = new Frontend(loop, clock, silent, exchange, config.settings(), config.sockets(),
--- /dev/null
+++ b/sidecar/src/test/java/mapleroute/FleetProcessesTest.java
@@ -0,0 +1,165 @@
+package mapleroute;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Real sidecar processes in a fleet: what each sees of the others at its operators' door. */
+@Timeout(240)
+class FleetProcessesTest {
+
+    @TempDir
+    Path folder;
+
+    private final List<Process> processes = new ArrayList<>();
+
+    /** One process, by its name and its doors. */
+    private final class Member {
+        final String name;
+        final int fleetPort = free();
+        final int door = free();
+        Process process;
+
+        Member(String name) throws IOException {
+            this.name = name;
+        }
+
+        Member start(Member seed) throws IOException {
+            process = FleetProcessesTest.this.start(name, MainTest.CONFIG
+                .replace("\"n0\"", "\"" + name + "\"")
+                .replace("\"discovery\"", "\"management\":\"127.0.0.1:" + door + "\",\"fleet\":{\"name\":"
+                    + "\"test\",\"listen\":\"127.0.0.1:" + fleetPort + "\",\"seeds\":[\"127.0.0.1:"
+                    + seed.fleetPort + "\"]},\"discovery\""));
+            return this;
+        }
+
+        /** Asks until what it sees is as wanted; the test's time bounds the wait. */
+        void sees(Predicate<String> wanted) throws Exception {
+            awaitThat(() -> wanted.test(ask()), name);
+        }
+
+        private String ask() throws IOException {
+            try (Socket socket = new Socket("127.0.0.1", door)) {
+                socket.getOutputStream().write("members\n".getBytes(StandardCharsets.UTF_8));
+                return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            } catch (IOException e) {
+                // Not up yet.
+                return "";
+            }
+        }
+    }
+
+    /** Asks again and again, a minute at most: only a fault takes so long, on however slow a machine. */
+    private static void awaitThat(Callable<Boolean> wanted, String what) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+        while (!wanted.call()) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("not seen: " + what);
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private static int free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private Process start(String name, String config, String... options) throws IOException {
+        Path file = Files.writeString(folder.resolve(name + ".json"), config);
+        List<String> command = new ArrayList<>(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of(options));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "mapleroute.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(folder.resolve(name + ".log").toFile());
+        builder.environment().put("GW_CONFIG", file.toString());
+        Process process = builder.start();
+        processes.add(process);
+        return process;
+    }
+
+    @AfterEach
+    void end() {
+        processes.forEach(Process::destroyForcibly);
+    }
+
+    private static Predicate<String> member(String name, String state) {
+        return answer -> answer.startsWith("done {") && answer.matches("(?s).*\"name\":\"" + name
+            + "\",\"address\":\"[^\"]*\",\"state\":\"" + state + "\".*");
+    }
+
+    private static Predicate<String> present(int count) {
+        return answer -> answer.contains("\"present\":" + count + ",");
+    }
+
+    /**
+     * Processes join by a seed; a killed one is found dead, comes back as a later one, and leaves by its
+     * word.
+     */
+    @Test
+    void theySeeEachOtherJoinDieReturnAndLeave() throws Exception {
+        Member a = new Member("a");
+        Member b = new Member("b");
+        Member c = new Member("c");
+        for (Member each : List.of(a, b, c)) {
+            each.start(a);
+        }
+        for (Member each : List.of(a, b, c)) {
+            each.sees(present(3));
+        }
+        c.process.destroyForcibly().waitFor();
+        a.sees(member("c", "dead"));
+        b.sees(member("c", "dead"));
+        c.start(b);
+        a.sees(member("c", "alive").and(answer -> answer.contains("\"incarnation\":2")));
+        c.sees(present(3));
+        c.process.destroy();
+        a.sees(member("c", "left"));
+        b.sees(member("c", "left"));
+    }
+
+    /** A fleet costs nothing where none is configured: not even a class is loaded. */
+    @Test
+    void withoutAFleetNothingOfItIsLoaded() throws Exception {
+        Process process = start("off", MainTest.CONFIG, "-Xlog:class+load:file=" + folder.resolve("classes"));
+        Path log = folder.resolve("off.log");
+        awaitThat(() -> Files.readString(log).contains("warm after"), "warm");
+        process.destroy();
+        assertEquals(0, process.waitFor());
+        String classes = Files.readString(folder.resolve("classes"));
+        assertTrue(classes.contains("mapleroute.sidecar.Sidecar "), "the log of classes is there");
+        assertFalse(classes.contains("mapleroute.fleet") || classes.contains("FleetPart")
+            || classes.contains("dataformat.cbor") || classes.contains("NioDatagramChannel"));
+    }
+
+    @Test
+    void aBadFleetSectionIsOnePlainLine() throws Exception {
+        Process process = start("bad", MainTest.CONFIG.replace("\"discovery\"",
+            "\"fleet\":{\"name\":\"x\",\"listen\":\"nowhere\"},\"discovery\""));
+        assertTrue(process.waitFor() > 0);
+        try (BufferedReader log = Files.newBufferedReader(folder.resolve("bad.log"))) {
+            List<String> lines = log.lines().filter(line -> !line.contains("clients connect")).toList();
+            assertEquals(List.of("mapleroute: field fleet.listen is not usable: nowhere"), lines);
+        }
+    }
+}
--- a/sidecar/src/test/java/mapleroute/MainTest.java
+++ b/sidecar/src/test/java/mapleroute/MainTest.java
@@ -21,7 +21,7 @@
 @Timeout(60)
 class MainTest {
 
-    private static final String CONFIG = """
+    static final String CONFIG = """
         {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f",
         "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
         "known":{"version":0,"full":true,"servers":[]},
