--- a/fleet/src/main/java/mapleroute/fleet/host/FleetHost.java
+++ b/fleet/src/main/java/mapleroute/fleet/host/FleetHost.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import mapleroute.fleet.member.Membership;
@@ -162,7 +164,9 @@
 
     /** What this process sees, as one line of JSON. */
     public String members() {
-        return ViewJson.of(config.fleet(), membership.view(now()), transport.counts());
+        Map<String, Long> counts = new TreeMap<>(transport.counts());
+        counts.put("implausible claims", membership.implausible());
+        return ViewJson.of(config.fleet(), membership.view(now()), counts);
     }
 
     /** Listens no more. */
--- a/lab/src/main/java/mapleroute/lab/fleet/Fault.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/Fault.java
@@ -9,7 +9,7 @@
  * @param kind what it is
  * @param who the members that it strikes, by number
  * @param lasts how long, in milliseconds; for a kill, until a new process of the name starts, or 0 for never
- * @param value of a loss or duplication its part, of a delay its milliseconds, of a join nothing
+ * @param value of a loss or duplication its part, of a delay its milliseconds, else nothing
  */
 public record Fault(double at, Kind kind, List<Integer> who, double lasts, double value) {
 
--- /dev/null
+++ b/lab/src/test/java/mapleroute/lab/drill/DrillPlanTest.java
@@ -0,0 +1,25 @@
+package mapleroute.lab.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import mapleroute.lab.experiment.Experiment;
+import mapleroute.lab.experiment.ExperimentReader;
+import org.junit.jupiter.api.Test;
+
+/** The drills that come with the lab. */
+class DrillPlanTest {
+
+    /** Guards against a drill whose day cannot be played, which nobody notices until it is needed. */
+    @Test
+    void everyShippedDrillAndItsDayCanBeRead() throws Exception {
+        assertFalse(DrillPlan.shipped().isEmpty());
+        for (String name : DrillPlan.shipped()) {
+            DrillPlan plan = DrillPlan.read(name);
+            assertEquals(name, plan.name());
+            Experiment day = ExperimentReader.read(plan.experiment(),
+                ExperimentReader.tree(plan.experiment(), plan.set()));
+            assertFalse(day.world().tiers().isEmpty(), name);
+        }
+    }
+}
