--- a/decisions/src/main/java/mapleroute/Decide.java
+++ b/decisions/src/main/java/mapleroute/Decide.java
@@ -134,7 +134,10 @@
     private static final long ASK_TIMER = 1;
 
     /** A slot: the right to have one call at a time at one server. */
-    private static final class Slot implements Comparable<Slot> {
+    private static final class Slot {
+        static final Comparator<Slot> BY_RANK = Comparator.<Slot>comparingDouble(slot -> slot.rank)
+            .thenComparingLong(slot -> slot.target.hash).thenComparing(slot -> slot.target.id)
+            .thenComparingInt(slot -> slot.number);
         final Target target;
         final int number;
         /** The rank it has by the design's formula, at the server's present place and cost. */
@@ -151,18 +154,6 @@
             this.target = target;
             this.number = number;
         }
-
-        @Override
-        public int compareTo(Slot other) {
-            int order = Double.compare(rank, other.rank);
-            if (order == 0) {
-                order = Long.compare(target.hash, other.target.hash);
-            }
-            if (order == 0) {
-                order = target.id.compareTo(other.target.id);
-            }
-            return order != 0 ? order : Integer.compare(number, other.number);
-        }
     }
 
     /** What this balancer knows of one server. */
@@ -203,8 +194,7 @@
 
         void answered(double now) {
             if (lastAnswer > 0) {
-                double gap = now - lastAnswer;
-                answerGapMs += (answerGapMs == 0 ? 1 : SERVER_GAIN) * (gap - answerGapMs);
+                answerGapMs += (answerGapMs == 0 ? 1 : SERVER_GAIN) * (now - lastAnswer - answerGapMs);
             }
             lastAnswer = now;
         }
@@ -293,18 +283,16 @@
     private final List<Target> known = new ArrayList<>();
     private final List<Slot> pool = new ArrayList<>();
     /** The slots next outside the pool, one a server at most, by rank: the own zone's and all others. */
-    private final TreeSet<Slot> nearSpares = new TreeSet<>();
-    private final TreeSet<Slot> farSpares = new TreeSet<>();
-    private final List<Target> paused = new ArrayList<>();
+    private final TreeSet<Slot> nearSpares = new TreeSet<>(Slot.BY_RANK);
+    private final TreeSet<Slot> farSpares = new TreeSet<>(Slot.BY_RANK);
+    private final Set<Target> paused = new LinkedHashSet<>();
     private final List<Target> cold = new ArrayList<>();
     /** What is learned of each class, by its name: its place in the settings may change. */
     private final Map<String, Learned> learned = new HashMap<>();
     private double mostWorth;
     private boolean anyRepeatable;
     private double meanWeight = 1;
-    private int ready;
     private int readyInZone;
-    private int ailing;
     private int inFlight;
     /** When an attempt last ended, and how long it took. */
     private double lastEnd;
@@ -528,7 +516,7 @@
      * at once thus move the fleet by one call a server and round of answers, however many they are.
      */
     private double growth() {
-        return Math.min(1, (double) ready / settings.balancers());
+        return Math.min(1, (double) known.size() / settings.balancers());
     }
 
     // ---- the ordinary path: the lowest-ranked free slot ----
@@ -580,7 +568,7 @@
     /** The order in which calls take slots: by rank, other zones' put back by what locality is worth. */
     private int order(Slot a, Slot b) {
         int order = Double.compare(orderRank(a), orderRank(b));
-        return order != 0 ? order : a.compareTo(b);
+        return order != 0 ? order : Slot.BY_RANK.compare(a, b);
     }
 
     /**
@@ -608,7 +596,7 @@
     private boolean gentle(double now, Slot slot) {
         double warmth = warmth(now, slot.target);
         return warmth >= 1 || slot.target.owed || formula(slot) < warmth * Math.max(firstCalls(),
-            settings.balancers() * relativeWeight(slot.target) / Math.max(1, ready));
+            settings.balancers() * relativeWeight(slot.target) / Math.max(1, known.size()));
     }
 
     /**
@@ -625,7 +613,7 @@
      */
     private boolean crowds(Slot slot) {
         return settings.tier() == 0 && pressure > comfort() / 2 && formula(slot)
-            >= Math.max(FIRST_CALLS, CASCADE * Math.max(1, limit) * settings.balancers() / ready);
+            >= Math.max(FIRST_CALLS, CASCADE * Math.max(1, limit) * settings.balancers() / known.size());
     }
 
     private boolean mayUse(double now, Call call, Slot slot, boolean picky) {
@@ -701,13 +689,11 @@
     public void onFinished(double now, Finished finished) {
         tick(now);
         Call call = calls.get(finished.request());
-        if (call == null || finished.attempt() >= call.attempts.size()) {
+        if (call == null || finished.attempt() >= call.attempts.size()
+                || call.attempts.get(finished.attempt()).end()[0] != null) {
             return;
         }
         Attempt attempt = call.attempts.get(finished.attempt());
-        if (attempt.end()[0] != null) {
-            return;
-        }
         attempt.end()[0] = finished.outcome();
         call.out--;
         if (!finished.outcome().neverRan() && call.mayHaveRun == null) {
@@ -757,19 +743,14 @@
 
     private boolean mayRetry(double now, Call call, Outcome outcome) {
         double left = call.usefulUntil - now;
+        // Retries feed on themselves when all is slow, and multiply from tier to tier: they have a budget.
         if (call.out > 0 || call.attempts.size() >= call.tries || outcome == Outcome.IGNORED
-                || left < call.learned.typicalMs / 2) {
-            return false;
-        }
-        if (call.mayHaveRun != null && (call.kind.effect() == Effect.ONCE
+                || left < call.learned.typicalMs / 2 || retriesLeft < 1
+                || call.mayHaveRun != null && (call.kind.effect() == Effect.ONCE
                 || call.kind.effect() == Effect.BY_KEY
                 && now - call.mayHaveRun.sentAt() >= call.kind.windowMs() * 0.9)) {
             return false;
         }
-        // Retries feed on themselves when all is slow, and multiply from tier to tier.
-        if (retriesLeft < 1) {
-            return false;
-        }
         retriesLeft--;
         return true;
     }
@@ -871,7 +852,8 @@
      */
     private boolean blamedOnShared(Outcome outcome) {
         boolean unreachable = outcome == Outcome.CONNECT_ERROR;
-        return known.stream().filter(t -> t.onTrial && t.unreachable == unreachable).count() * 2 > ready;
+        long bad = known.stream().filter(t -> t.onTrial && t.unreachable == unreachable).count();
+        return bad * 2 > known.size();
     }
 
     /** A failure: the server pauses, longer each time; at the second in a row it loses all its slots. */
@@ -882,7 +864,6 @@
         if (!target.onTrial) {
             target.onTrial = true;
             usableStale = true;
-            ailing++;
             ejections++;
         }
         pause(now, target, settings.limits().connectTimeoutMs() * (1 << target.strikes));
@@ -906,9 +887,7 @@
     }
 
     private void pause(double now, Target target, double ms) {
-        if (target.pausedUntil <= now) {
-            paused.add(target);
-        }
+        paused.add(target);
         target.pausedUntil = Math.max(target.pausedUntil, now + ms);
         offer(now, target);
     }
@@ -921,7 +900,6 @@
         if (++target.trialAnswers >= 1 << Math.min(target.strikes, 3)) {
             usableStale = true;
             target.onTrial = false;
-            ailing--;
             target.strikes /= 2;
             offer(now, target);
         }
@@ -1016,7 +994,7 @@
      * then go to several others, and not all to the next one, which would be the next to crowd.
      */
     private long ringOrder(Target target) {
-        int rings = Integer.highestOneBit(Math.max(1, settings.balancers() / Math.max(1, ready)));
+        int rings = Integer.highestOneBit(Math.max(1, settings.balancers() / Math.max(1, known.size())));
         long scatter = 1;
         for (int i = settings.ownNumber() % rings; i > 0; i--) {
             scatter *= RING_MIX;
@@ -1072,7 +1050,7 @@
         }
         usableStale = false;
         double inUse = known.stream().mapToDouble(t -> t.onTrial ? 0 : relativeWeight(t)).sum();
-        usable = ready == 0 ? 1 : Math.max(1, inUse) / ready;
+        usable = known.size() == 0 ? 1 : Math.max(1, inUse) / known.size();
     }
 
     private double refillPause() {
@@ -1134,8 +1112,8 @@
         if (turnedAway + fullServers + ejections > 0) {
             host.log("tier " + settings.tier() + ": " + turnedAway + " calls turned away at a limit of "
                 + Math.round(limit) + " at once, " + fullServers + " attempts met a full server, "
-                + ejections + " times a server was put on trial; " + ailing + " of " + ready
-                + " on trial now");
+                + ejections + " times a server was put on trial; "
+                + known.stream().filter(t -> t.onTrial).count() + " of " + known.size() + " on trial now");
         }
         turnedAway = 0;
         fullServers = 0;
@@ -1178,12 +1156,11 @@
         usableStale = true;
         known.clear();
         targets.values().stream().filter(t -> t.listed.state() == State.READY).forEach(known::add);
-        ready = known.size();
         readyInZone = (int) known.stream().filter(t -> !isFar(t)).count();
         double weights = known.stream().mapToDouble(t -> t.listed.weight()).sum();
-        double size = weights > 0 ? weights : ready;
+        double size = weights > 0 ? weights : known.size();
         if (limitFor == 0) {
-            limit = Math.min(CEILING, Math.max(1, firstCalls() * ready / settings.balancers()));
+            limit = Math.min(CEILING, Math.max(1, firstCalls() * known.size() / settings.balancers()));
             quickUntil = limit;
             limitFor = size;
         } else if (size > 0) {
@@ -1192,7 +1169,7 @@
             quickUntil *= size / limitFor;
             limitFor = size;
         }
-        meanWeight = ready == 0 || weights <= 0 ? 1 : weights / ready;
+        meanWeight = known.size() == 0 || weights <= 0 ? 1 : weights / known.size();
         known.sort(Comparator.comparingLong(this::ringOrder).thenComparing(t -> t.id));
         place(known);
         pool.forEach(slot -> slot.rank = rank(slot));
@@ -1258,10 +1235,7 @@
     }
 
     private void heal(Target target) {
-        if (target.onTrial) {
-            target.onTrial = false;
-            ailing--;
-        }
+        target.onTrial = false;
         target.strikes = 0;
         target.pausedUntil = 0;
         target.slowness = 1;
@@ -1271,7 +1245,6 @@
 
     private void forgetGone(Target target) {
         if (target.listed.state() == State.GONE && target.inFlight == 0) {
-            heal(target);
             targets.remove(target.id);
             paused.remove(target);
             cold.remove(target);
