--- a/decisions/src/main/java/mapleroute/Contract.java
+++ b/decisions/src/main/java/mapleroute/Contract.java
@@ -1,6 +1,7 @@
 package mapleroute;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * The words a balancer and its host share: settings, servers, requests and outcomes, the events that go in
@@ -168,6 +169,46 @@
         }
     }
 
+    /**
+     * What the other balancers of a fleet advise. Past its time it counts as {@link #NONE}, and a balancer
+     * goes by what it sees itself.
+     *
+     * @param untilMs when it is too old to be used, on the host's clock
+     * @param ailing servers to hold back: several balancers saw them fail, and others look when they are well
+     * @param staged servers of a version that is on its way out to the fleet
+     * @param part the part of the calls that come from clients which goes to staged servers, 0 to 1
+     * @param rates by tenant, in the order of the settings: calls a second that this balancer may take for
+     *     within the tenant's share; empty for an even part each
+     */
+    public record Guidance(double untilMs, Set<String> ailing, Set<String> staged, double part,
+            List<Double> rates) {
+        /** No advice. */
+        public static final Guidance NONE =
+            new Guidance(Double.NEGATIVE_INFINITY, Set.of(), Set.of(), 0, List.of());
+
+        public Guidance {
+            ailing = Set.copyOf(ailing);
+            staged = Set.copyOf(staged);
+            rates = List.copyOf(rates);
+            notNegative("guidance.part", part);
+            finite("guidance.part", part);
+            rates.forEach(rate -> {
+                notNegative("guidance.rates[]", rate);
+                finite("guidance.rates[]", rate);
+            });
+        }
+
+        /** The same until another time. */
+        public Guidance until(double ms) {
+            return new Guidance(ms, ailing, staged, part, rates);
+        }
+
+        /** A tenant's rate, or the even one where nothing is advised of it. */
+        double rate(int tenant, double even) {
+            return tenant < rates.size() ? rates.get(tenant) : even;
+        }
+    }
+
     /** What happens to a balancer. Each call carries the host's clock, which never runs backwards. */
     public interface Events {
         /** Discovery has sent a list, or changes to it, or has failed to. */
@@ -182,6 +223,10 @@
         /** Operators take a server out of service, whatever lists say, or let it serve again. */
         void onMaintenance(double now, String server, boolean out);
 
+        /** The fleet has advice, in place of what it advised before. A policy may well heed none. */
+        default void onGuidance(double now, Guidance guidance) {
+        }
+
         /** A client has sent a request; the balancer now owes it one final answer. */
         void onRequest(double now, Request request);
 
--- a/decisions/src/main/java/mapleroute/Decide.java
+++ b/decisions/src/main/java/mapleroute/Decide.java
@@ -17,6 +17,7 @@
 import mapleroute.Contract.Events;
 import mapleroute.Contract.Finished;
 import mapleroute.Contract.Group;
+import mapleroute.Contract.Guidance;
 import mapleroute.Contract.ListKind;
 import mapleroute.Contract.Outcome;
 import mapleroute.Contract.Request;
@@ -179,6 +180,7 @@
         int trialAnswers;
         /** Back from maintenance, where it was in use: the next call that may go there does. */
         boolean owed;
+        boolean staged;
         /** What put it there last was a connect that failed. */
         boolean unreachable;
         double slowness = 1;
@@ -229,6 +231,8 @@
         boolean answered;
         int out;
         boolean withinShare;
+        /** It is of the part that goes to a version on its way out; its retries go elsewhere. */
+        boolean staged;
         /** The first attempt that may have run: its server's group and time bind later ones. */
         Attempt mayHaveRun;
 
@@ -334,6 +338,7 @@
     /** What is left of each tenant's allowance at this balancer, and when it was last topped up. */
     private double[] allowance;
     private double[] toppedUp;
+    private Guidance guidance = Guidance.NONE;
 
     /** A balancer that knows its settings and nothing else; it acts through {@code host}. */
     public Decide(Settings settings, long seed, Actions host) {
@@ -388,6 +393,8 @@
         demandMs += call.learned.baseMs();
         retriesLeft = Math.min(RETRY_SAVINGS, retriesLeft + RETRY_SHARE);
         call.withinShare = settings.tier() > 0 || withinShare(now, request.tenant());
+        // By the call's name: a small part is as small over all balancers, however few calls each has.
+        call.staged = guidance.part() > 0 && Target.mix(request.id()) < guidance.part() * 0x1p32;
         if (!admits(now, call)) {
             shareTurnedAway = call.withinShare ? now : shareTurnedAway;
             turnedAway++;
@@ -444,7 +451,8 @@
         if (tenant >= allowance.length) {
             return true;
         }
-        double perMs = settings.tenants().get(tenant).allowancePerSecond() / settings.balancers() / 1000;
+        double even = settings.tenants().get(tenant).allowancePerSecond() / settings.balancers();
+        double perMs = guidance.rate(tenant, even) / 1000;
         double most = 1 + ALLOWANCE_SAVINGS_S * 1000 * perMs;
         allowance[tenant] = toppedUp[tenant] == 0 ? most
             : Math.min(most, allowance[tenant] + perMs * (now - toppedUp[tenant]));
@@ -624,7 +632,8 @@
         }
         // A call that cannot be tried again must not be the one to find out whether a server is well.
         boolean risky = (target.onTrial || target.owed) && call.kind.effect() == Effect.ONCE && anyRepeatable;
-        return !picky || !risky && call.attempts.stream().noneMatch(a -> a.slot().target == target);
+        return !picky || !risky && target.staged == (call.staged && call.attempts.isEmpty())
+            && call.attempts.stream().noneMatch(a -> a.slot().target == target);
     }
 
     /** Only the group that remembers a keyed call's first run drops its repeat. */
@@ -1076,6 +1085,9 @@
         nextRefill = now + refillPause();
         learnUsual(now);
         learnUsable();
+        if (now >= guidance.untilMs() && guidance != Guidance.NONE) {
+            onGuidance(now, Guidance.NONE);
+        }
         connectFailing *= CONNECT_FADE;
         report(now);
         List<Target> rested = paused.stream().filter(target -> target.pausedUntil <= now).toList();
@@ -1191,6 +1203,20 @@
         }
     }
 
+    @Override
+    public void onGuidance(double now, Guidance given) {
+        guidance = given;
+        targets.values().forEach(target -> target.staged = given.staged().contains(target.id));
+        // On trial for as long as it is advised, and until it has answered. Not where most look bad already.
+        for (Target target : known) {
+            if (given.ailing().contains(target.id) && !blamedOnShared(Outcome.FAILED)) {
+                target.strikes = 1;
+                strike(now, target, Outcome.FAILED);
+                pause(now, target, given.untilMs() - now);
+            }
+        }
+    }
+
     /** Whether a list has ever named a server. */
     public boolean hasNamed(String server) {
         return named.contains(server);
@@ -1224,6 +1250,7 @@
         }
         target.listed = entry;
         target.told = told;
+        target.staged = guidance.staged().contains(target.id);
         if (warmth(now, target) < 1 && !cold.contains(target)) {
             cold.add(target);
         }
--- a/fleet/src/main/java/mapleroute/fleet/host/FleetConfig.java
+++ b/fleet/src/main/java/mapleroute/fleet/host/FleetConfig.java
@@ -19,12 +19,13 @@
  * @param zone where this process stands, or empty
  * @param tier the tier that it sends to, or empty
  * @param version of the program, or empty for the one it has itself
+ * @param shares whether it shares what it sees of servers, and tenants' allowances
  */
 public record FleetConfig(String fleet, InetSocketAddress listen, String advertise, List<String> seeds,
-        Path seedsFile, String zone, String tier, String version) {
+        Path seedsFile, String zone, String tier, String version, boolean shares) {
 
     private static final List<String> KEYS = List.of("name", "listen", "advertise", "seeds", "seeds_file",
-        "zone", "tier", "version");
+        "zone", "tier", "version", "share");
 
     /**
      * Reads the section.
@@ -51,7 +52,7 @@
         return new FleetConfig(word(section, "name", true), listen(section.get("listen")),
             section.get("advertise") == null ? null : address("advertise", section.get("advertise")), seeds,
             file == null ? null : Path.of((String) file), word(section, "zone", false),
-            word(section, "tier", false), word(section, "version", false));
+            word(section, "tier", false), word(section, "version", false), flag(section, "share"));
     }
 
     private static InetSocketAddress listen(Object value) {
@@ -82,6 +83,14 @@
         throw bad(field, value);
     }
 
+    private static boolean flag(Map<?, ?> section, String field) {
+        Object value = section.get(field);
+        if (value == null || value instanceof Boolean) {
+            return Boolean.TRUE.equals(value);
+        }
+        throw bad(field, value);
+    }
+
     private static IllegalArgumentException bad(String field, Object value) {
         return new IllegalArgumentException(value == null ? "field fleet." + field + " is missing"
             : "field fleet." + field + " is not usable: " + value);
--- a/fleet/src/main/java/mapleroute/fleet/host/FleetHost.java
+++ b/fleet/src/main/java/mapleroute/fleet/host/FleetHost.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -17,6 +18,7 @@
 import mapleroute.fleet.member.Rider;
 import mapleroute.fleet.member.Tuning;
 import mapleroute.fleet.member.Update;
+import mapleroute.fleet.member.View;
 import mapleroute.fleet.wire.Addresses;
 import mapleroute.fleet.wire.BadMessage;
 import mapleroute.fleet.wire.MessageCodec;
@@ -58,18 +60,19 @@
      * @param name of this process in the fleet, the same after a restart
      * @param profile what this process says of itself
      * @param seed for random numbers, another for each process
+     * @param rider what it tells others beside membership; {@link Rider#NONE} for nothing
      * @param log takes lines for operators
      * @throws IOException if it cannot listen
      */
     public static FleetHost start(EventLoop loop, ByteBufAllocator buffers, FleetConfig config, String name,
-            Profile profile, long seed, Consumer<String> log) throws IOException {
+            Profile profile, long seed, Rider rider, Consumer<String> log) throws IOException {
         FleetHost host = new FleetHost(loop, buffers, config, log);
         host.transport.listen(config.listen());
         String address = config.advertise() == null ? Addresses.text(host.transport.address())
             : config.advertise();
         host.profile = profile;
         loop.submit(() -> {
-            host.membership = new Membership(Tuning.DEFAULT, name, address, profile, seed, host, Rider.NONE,
+            host.membership = new Membership(Tuning.DEFAULT, name, address, profile, seed, host, rider,
                 host.now());
             host.step();
         }).syncUninterruptibly();
@@ -79,7 +82,8 @@
         return host;
     }
 
-    private double now() {
+    /** The clock that all is told by: milliseconds since the start, never back. */
+    public double now() {
         return (System.nanoTime() - startNanos) / 1e6;
     }
 
@@ -162,6 +166,18 @@
         }
     }
 
+    /** What this process sees. */
+    public View view() {
+        return membership.view(now());
+    }
+
+    /** Asks a member something; see {@link Membership#ask}. */
+    public long ask(String member, ByteBuffer question) {
+        long sequence = closed ? -1 : membership.ask(now(), member, question);
+        plan();
+        return sequence;
+    }
+
     /** What this process sees, as one line of JSON. */
     public String members() {
         Map<String, Long> counts = new TreeMap<>(transport.counts());
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/share/Sharing.java
@@ -0,0 +1,227 @@
+package mapleroute.fleet.share;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
+import java.util.random.RandomGenerator;
+import mapleroute.fleet.member.State;
+import mapleroute.fleet.member.Update;
+import mapleroute.fleet.member.View;
+
+/**
+ * What one process shares with the others and takes from them: sightings of servers and the common verdict on
+ * them, and the tenants' allowances. It does no I/O and is told the time. It only advises: past its time an
+ * advice is none, and its process goes by its own eyes and its even parts.
+ */
+public final class Sharing {
+
+    /** A sighting older than this is not used. */
+    public static final double SIGHTING_BOUND_MS = 15_000;
+    /** An advice is good for so long: two of its makings may fail before it is missed. */
+    public static final double ADVICE_MS = 1500;
+    /** It is made this often. */
+    public static final double EVERY_MS = 100;
+    /** Who is there is looked at this often, as that takes a walk over all members. */
+    private static final double LOOK_MS = 1000;
+    /**
+     * Sightings held at most, in some 1.5 MB: 300 servers with 16 observers each, of which the verdict needs
+     * a few. What falls out is counted.
+     */
+    private static final int MOST_SIGHTINGS = 5000;
+    /** The share of one that is gone is the others' after this: a restart must not shift all shares twice. */
+    private static final double INHERIT_MS = 5000;
+
+    /**
+     * What the fleet advises.
+     *
+     * @param untilMs when it is too old, on the clock that this process is told
+     * @param ailing servers to hold back; not those that this process is to go on calling, so that somebody
+     *     sees when they are well again
+     * @param rates how many calls a second of each tenant this process may take for within its share
+     */
+    public record Advice(double untilMs, Set<String> ailing, Map<String, Double> rates) {
+    }
+
+    /** What this process shares allowances by: each tenant's, in calls a second, over so many processes. */
+    private Map<String, Double> allowances = Map.of();
+    private int sharers = 1;
+
+    private final String name;
+    private final SightingStore store;
+    private final Eyes eyes;
+    private final Shares shares;
+    private final Set<String> servers = new HashSet<>();
+    private Set<String> ailing = Set.of();
+    private List<String> partners = List.of();
+    private Set<String> nearby = Set.of();
+    private double inherited = 1;
+    private double lookMs;
+    private double judgeMs;
+    private double madeMs = Double.NEGATIVE_INFINITY;
+    private long missed;
+
+    /**
+     * Begins with nothing.
+     *
+     * @param name of this process in the fleet
+     * @param run which process of that name, drawn at its start
+     */
+    public Sharing(double now, String name, long run, RandomGenerator random) {
+        this.name = name;
+        store = new SightingStore(name, run, SIGHTING_BOUND_MS, MOST_SIGHTINGS);
+        eyes = new Eyes(now, store);
+        shares = new Shares(random);
+        lookMs = now;
+        judgeMs = now;
+    }
+
+    /**
+     * The servers that this process's own discovery names; of others nothing is advised.
+     *
+     * @param whole whether these are all, or changes
+     * @param ready by a server's id, whether it takes new calls
+     */
+    public void listed(boolean whole, Map<String, Boolean> ready) {
+        if (whole) {
+            servers.clear();
+        }
+        ready.forEach((server, takes) -> {
+            if (takes) {
+                servers.add(server);
+            } else {
+                servers.remove(server);
+            }
+        });
+    }
+
+    /** The tenants' allowances, in calls a second over so many processes; none where they do not bind. */
+    public void allowances(Map<String, Double> all, int processes) {
+        allowances = Map.copyOf(all);
+        sharers = processes;
+        shares.retain(List.copyOf(allowances.keySet()));
+    }
+
+    /** A call of this process has ended. */
+    public void saw(String server, Eyes.Fate fate) {
+        eyes.saw(server, fate);
+    }
+
+    /** A call of a tenant has come to this process. */
+    public void called(String tenant) {
+        shares.called(tenant);
+    }
+
+    /** What it holds of sightings, to be carried to others and from them. */
+    public SightingStore sightings() {
+        return store;
+    }
+
+    /** Its shares of allowances, to answer others' questions from. */
+    public Shares shares() {
+        return shares;
+    }
+
+    /**
+     * Makes the advice of now; called every {@link #EVERY_MS}.
+     *
+     * @param view tells who is there
+     * @param ask sends a question for a loan; returns its number, or below 0
+     */
+    public Advice advance(double now, Supplier<View> view,
+            ToLongFunction<Shares.Question> ask) {
+        missed += now - madeMs > ADVICE_MS && madeMs > 0 ? 1 : 0;
+        madeMs = now;
+        eyes.advance(now);
+        if (now >= lookMs) {
+            lookMs = now + LOOK_MS;
+            look(view.get());
+        }
+        if (now >= judgeMs) {
+            judgeMs = now + Eyes.WINDOW_MS / 2;
+            store.dropOld(now);
+            ailing = new HashSet<>(Verdicts.held(now, store, servers, name, nearby));
+            double at = now;
+            ailing.removeIf(server -> Verdicts.isTester(at, store, server, name));
+        }
+        allowances.forEach((tenant, allowance) -> shares.own(now, tenant, allowance / sharers * inherited));
+        shares.advance(now, partners, ask);
+        double until = now + ADVICE_MS;
+        Map<String, Double> rates = new LinkedHashMap<>();
+        for (String tenant : allowances.keySet()) {
+            rates.put(tenant, shares.rate(now, tenant));
+            until = shares.steadyUntil(now, tenant, until);
+        }
+        return new Advice(until, Set.copyOf(ailing), rates);
+    }
+
+    private void look(View view) {
+        Update self = view.members().stream().map(View.Member::held)
+            .filter(held -> held.name().equals(name)).findFirst().orElse(null);
+        if (self == null || self.profile() == null || view.superseded()) {
+            partners = List.of();
+            inherited = 1;
+            return;
+        }
+        List<String> present = new ArrayList<>();
+        Set<String> zone = new HashSet<>();
+        int gone = 0;
+        for (View.Member member : view.members()) {
+            Update held = member.held();
+            if (held.profile() == null) {
+                continue;
+            }
+            if (held.profile().zone().equals(self.profile().zone())) {
+                zone.add(held.name());
+            }
+            if (held.profile().tier().equals(self.profile().tier()) && !held.name().equals(name)) {
+                if (held.state() == State.ALIVE) {
+                    present.add(held.name());
+                } else if (!held.state().isPresent() && member.sinceMs() > INHERIT_MS) {
+                    gone++;
+                }
+            }
+        }
+        partners = present;
+        nearby = zone;
+        // The smaller side of a cut inherits nothing: the other side lives, and uses what it has.
+        double here = present.size() + 1.0;
+        inherited = view.majority() ? Math.max(1, Math.min(sharers, here + gone) / here) : 1;
+    }
+
+    /** The state for operators: by kind its age now, its bound, and what was passed over. */
+    public Map<String, Object> status(double now) {
+        Map<String, Object> sightings = new LinkedHashMap<>();
+        sightings.put("held", store.size());
+        sightings.put("bound_ms", (long) SIGHTING_BOUND_MS);
+        sightings.put("oldest_used_ms", (long) store.oldestUsedMs());
+        sightings.put("past_bound", store.tooOld());
+        sightings.put("fallen_out", store.fallenOut());
+        sightings.put("refused", store.refused());
+        Map<String, Object> loans = new LinkedHashMap<>();
+        for (String tenant : shares.tenants()) {
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("rate", shares.rate(now, tenant));
+            one.put("even", allowances.getOrDefault(tenant, 0.0) / sharers);
+            one.put("lent", shares.lent(now, tenant));
+            one.put("borrowed", shares.borrowed(now, tenant));
+            loans.put(tenant, one);
+        }
+        Map<String, Object> all = new LinkedHashMap<>();
+        all.put("advice_age_ms", (long) (now - madeMs));
+        all.put("advice_bound_ms", (long) ADVICE_MS);
+        all.put("advice_missed", missed);
+        all.put("ailing", new ArrayList<>(new TreeSet<>(ailing)));
+        all.put("sightings", sightings);
+        all.put("allowances", loans);
+        all.put("loan_bound_ms", (long) Shares.LOAN_MS);
+        all.put("inherited", inherited);
+        all.put("loans_refused", shares.refused());
+        return all;
+    }
+}
--- a/fleet/src/main/java/mapleroute/fleet/share/Sighting.java
+++ b/fleet/src/main/java/mapleroute/fleet/share/Sighting.java
@@ -42,6 +42,11 @@
         return new Sighting(server, origin, run, version, attempts, unreachable, errors, silent, ms);
     }
 
+    /** What it says to one who stands elsewhere: what could not be reached from there may be from here. */
+    Sighting reached() {
+        return new Sighting(server, origin, run, version, attempts - unreachable, 0, errors, silent, ageMs);
+    }
+
     /** At most so many bytes on the wire. */
     public int weight() {
         return 52 + server.length() + origin.length();
--- a/fleet/src/main/java/mapleroute/fleet/share/Verdicts.java
+++ b/fleet/src/main/java/mapleroute/fleet/share/Verdicts.java
@@ -34,6 +34,9 @@
     /** Never more than this part of a tier is held back, as the rest must bear its calls. */
     static final double MOST_HELD = 0.3;
 
+    /** So many go on calling a server that is held back: one may have no calls, or end. */
+    private static final int TESTERS = 2;
+
     private Verdicts() {
     }
 
@@ -45,13 +48,16 @@
      * @param tier the ids of all servers in use, as this process's own discovery names them
      * @param self whose own opinion counts against a verdict: a server that this process sees succeed is not
      *     held
+     * @param nearby processes in the same zone: only they can tell what cannot be reached from here
      */
-    public static Set<String> held(double now, SightingStore store, Collection<String> tier, String self) {
+    public static Set<String> held(double now, SightingStore store, Collection<String> tier, String self,
+            Set<String> nearby) {
         Map<String, List<Sighting>> known = new HashMap<>();
         Map<String, int[]> byObserver = new HashMap<>();
         for (String server : tier) {
-            List<Sighting> opinions = store.of(now,
-                server).stream().filter(one -> one.attempts() > 0).toList();
+            List<Sighting> opinions = store.of(now, server).stream()
+                .map(one -> nearby.contains(one.origin()) ? one : one.reached())
+                .filter(one -> one.attempts() > 0).toList();
             known.put(server, opinions);
             for (Sighting one : opinions) {
                 int[] counts = byObserver.computeIfAbsent(one.origin(), o -> new int[2]);
@@ -68,6 +74,11 @@
         });
         Map<String, Double> failing = new HashMap<>();
         known.forEach((server, opinions) -> {
+            if (opinions.stream().min(Comparator.comparingDouble(Sighting::ageMs))
+                    .map(last -> !isFailing(last)).orElse(true)) {
+                // Whoever still calls it has seen it answer: what others saw was before that.
+                return;
+            }
             int observers = 0;
             double calls = 0;
             double failed = 0;
@@ -92,6 +103,16 @@
         return new HashSet<>(worst.subList(0, Math.min(worst.size(), (int) (MOST_HELD * tier.size()))));
     }
 
+    /**
+     * Whether a process is one of the few that go on calling a server which the others hold back, to see when
+     * it is well again: of those that saw it fail, the first ones by a hash. All that know the same agree.
+     */
+    static boolean isTester(double now, SightingStore store, String server, String self) {
+        return store.of(now, server).stream().filter(Verdicts::isFailing).map(Sighting::origin)
+            .sorted(Comparator.comparing(origin -> (origin + '/' + server).hashCode())).limit(TESTERS)
+            .anyMatch(self::equals);
+    }
+
     private static boolean isFailing(Sighting one) {
         return one.failures() >= FAILING * one.attempts();
     }
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/wire/LoanDesk.java
@@ -0,0 +1,103 @@
+package mapleroute.fleet.wire;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.dataformat.cbor.CBORFactory;
+import com.fasterxml.jackson.dataformat.cbor.CBORGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import mapleroute.fleet.member.Message;
+import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.share.Shares;
+
+/** Questions for loans of an allowance and their answers, as CBOR: a tenant and a rate; and a rate. */
+public final class LoanDesk implements Rider {
+
+    private static final CBORFactory FACTORY = new CBORFactory();
+    /** A longer name is no tenant's. */
+    private static final int LONGEST = 256;
+
+    private final Shares shares;
+    private long unreadable;
+
+    /** Answers from these shares, and puts into them what is lent. */
+    public LoanDesk(Shares shares) {
+        this.shares = shares;
+    }
+
+    /** A question as it is sent. */
+    public static ByteBuffer question(Shares.Question question) {
+        return array(question.tenant(), question.wanted());
+    }
+
+    /** An answer as it is sent. */
+    public static ByteBuffer answer(double rate) {
+        return array(null, rate);
+    }
+
+    @Override
+    public ByteBuffer next(double now, int bytes, int members) {
+        return Message.NOTHING;
+    }
+
+    @Override
+    public void hear(double now, ByteBuffer told, double transitMs) {
+        unreadable++;
+    }
+
+    @Override
+    public ByteBuffer asked(double now, String from, long sequence, ByteBuffer question) {
+        try (JsonParser in = FACTORY.createParser(bytes(question))) {
+            in.nextToken();
+            String tenant = in.nextToken() == JsonToken.VALUE_STRING ? in.getText() : "";
+            in.nextToken();
+            double wanted = in.getDoubleValue();
+            if (tenant.isEmpty() || tenant.length() > LONGEST) {
+                unreadable++;
+                return Message.NOTHING;
+            }
+            return answer(shares.lend(now, from, tenant, wanted));
+        } catch (IOException e) {
+            unreadable++;
+            return Message.NOTHING;
+        }
+    }
+
+    @Override
+    public void told(double now, String from, long sequence, ByteBuffer answer) {
+        try (JsonParser in = FACTORY.createParser(bytes(answer))) {
+            in.nextToken();
+            in.nextToken();
+            shares.borrowed(now, sequence, from, in.getDoubleValue());
+        } catch (IOException e) {
+            unreadable++;
+        }
+    }
+
+    /** Questions and answers that could not be read. */
+    public long unreadable() {
+        return unreadable;
+    }
+
+    private static byte[] bytes(ByteBuffer from) {
+        byte[] bytes = new byte[from.remaining()];
+        from.duplicate().get(bytes);
+        return bytes;
+    }
+
+    private static ByteBuffer array(String tenant, double rate) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(32);
+        try (CBORGenerator out = FACTORY.createGenerator(bytes)) {
+            out.writeStartArray();
+            if (tenant != null) {
+                out.writeString(tenant);
+            }
+            out.writeNumber(rate);
+            out.writeEndArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory cannot fail", e);
+        }
+        return ByteBuffer.wrap(bytes.toByteArray());
+    }
+}
--- a/fleet/src/test/java/mapleroute/fleet/host/FleetHostTest.java
+++ b/fleet/src/test/java/mapleroute/fleet/host/FleetHostTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import mapleroute.fleet.member.Profile;
+import mapleroute.fleet.member.Rider;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -45,7 +46,8 @@
         section.putAll(more);
         FleetHost host = FleetHost.start(loop, UnpooledByteBufAllocator.DEFAULT, FleetConfig.of(section),
             name,
-            new Profile("a", "front", "1", Profile.Phase.READY, ""), name.hashCode(), log::add);
+            new Profile("a", "front", "1", Profile.Phase.READY, ""), name.hashCode(), Rider.NONE,
+            log::add);
         hosts.add(host);
         return host;
     }
--- /dev/null
+++ b/fleet/src/test/java/mapleroute/fleet/share/SharesTest.java
@@ -0,0 +1,126 @@
+package mapleroute.fleet.share;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.function.DoubleConsumer;
+import org.junit.jupiter.api.Test;
+
+/** Loans between processes whose questions and answers come late, twice, or never. */
+class SharesTest {
+
+    private static final int PROCESSES = 4;
+    private static final double EVEN = 10;
+
+    /** Whatever is lost or late, no share is used at both ends: the sum never exceeds all even parts. */
+    @Test
+    void inNoDrawnOrderIsMoreInUseThanThereIs() {
+        for (int seed = 0; seed < 200; seed++) {
+            assertTrue(mostInUse(seed, 0.001) <= PROCESSES * EVEN + 1e-6, "seed " + seed);
+        }
+    }
+
+    /** Clocks that run apart by far more than is stated: the check above must see it. */
+    @Test
+    void aLenderWhoseClockRunsAheadIsFoundOut() {
+        int found = 0;
+        for (int seed = 0; seed < 200; seed++) {
+            found += mostInUse(seed, 1) > PROCESSES * EVEN + 1e-6 ? 1 : 0;
+        }
+        assertTrue(found > 20, found + " of 200");
+    }
+
+    private static double mostInUse(int seed, double drift) {
+        Random random = new Random(seed);
+        List<Shares> all = new ArrayList<>();
+        for (int i = 0; i < PROCESSES; i++) {
+            all.add(new Shares(new SplittableRandom(seed * 10L + i)));
+            all.get(i).own(0, "t", EVEN);
+        }
+        List<DoubleConsumer> answers = new ArrayList<>();
+        long[] sequences = new long[1];
+        double most = 0;
+        for (double at = 100; at < 16_000; at += 50) {
+            double now = at;
+            for (int i = 0; i < PROCESSES; i++) {
+                int self = i;
+                // Demand comes to the first one, whose clock is the slowest, and stops for a while.
+                for (int call = 0; i == 0 && call < (at % 8000 < 3000 ? 3 : 0); call++) {
+                    all.get(i).called("t");
+                }
+                List<String> others = List.of("0", "1", "2", "3").stream()
+                    .filter(name -> !name.equals("" + self)).toList();
+                all.get(i).advance(clock(i, now, drift), others, question -> {
+                    long sequence = ++sequences[0];
+                    int lender = Integer.parseInt(question.lender());
+                    if (random.nextInt(4) > 0) {
+                        double rate = all.get(lender).lend(clock(lender, now, drift), "" + self, "t",
+                            question.wanted());
+                        for (int copy = 0; copy < 1 + random.nextInt(2); copy++) {
+                            answers.add(then -> all.get(self).borrowed(clock(self, then, drift), sequence,
+                                question.lender(), rate));
+                        }
+                    }
+                    return sequence;
+                });
+            }
+            while (!answers.isEmpty() && random.nextInt(4) > 0) {
+                answers.remove(random.nextInt(answers.size())).accept(now);
+            }
+            double sum = 0;
+            for (int i = 0; i < PROCESSES; i++) {
+                sum += all.get(i).rate(clock(i, now, drift), "t");
+            }
+            most = Math.max(most, sum);
+        }
+        return most;
+    }
+
+    private static double clock(int process, double now, double drift) {
+        return now * (1 + drift * process / PROCESSES);
+    }
+
+    @Test
+    void whatCannotBeTrueIsNeitherLentNorBorrowed() {
+        Shares shares = new Shares(new SplittableRandom(1));
+        shares.own(0, "t", EVEN);
+        assertEquals(0, shares.lend(10, "x", "t", Double.NaN));
+        assertEquals(0, shares.lend(10, "x", "t", Double.POSITIVE_INFINITY));
+        assertEquals(0, shares.lend(10, "x", "t", -5));
+        assertEquals(0, shares.lend(10, "x", "none", 5));
+        shares.borrowed(10, 77, "x", 5);
+        assertEquals(5, shares.refused());
+        for (int i = 0; i < 50; i++) {
+            shares.called("t");
+        }
+        List<Shares.Question> asked = new ArrayList<>();
+        shares.advance(1000, List.of("x", "y"), question -> {
+            asked.add(question);
+            return asked.size();
+        });
+        assertEquals(2, asked.size(), asked.toString());
+        shares.borrowed(1100, 1, asked.get(0).lender(), 1e12);
+        shares.borrowed(1100, 2, "another than was asked", 5);
+        assertEquals(EVEN, shares.rate(1100, "t"));
+        shares.borrowed(1100, 2, asked.get(1).lender(), 5);
+        assertEquals(EVEN + 5, shares.rate(1100, "t"));
+        assertEquals(EVEN, shares.rate(1000 + Shares.LOAN_MS, "t"), "its time is over");
+    }
+
+    /** A lender keeps what it needs, and never lends the same twice. */
+    @Test
+    void aLenderLendsNoMoreThanItHasToSpare() {
+        Shares shares = new Shares(new SplittableRandom(1));
+        shares.own(0, "t", EVEN);
+        double first = shares.lend(10, "x", "t", 100);
+        assertEquals(EVEN * 0.9, first, 1e-9);
+        assertEquals(0, shares.lend(20, "y", "t", 100));
+        assertEquals(first, shares.lend(30, "x", "t", 100), 1e-9, "the same loan anew");
+        assertEquals(EVEN - first, shares.rate(40, "t"), 1e-9);
+        assertEquals(EVEN, shares.rate(30 + Shares.LOAN_MS * 1.01, "t"), 1e-9);
+    }
+}
--- a/fleet/src/test/java/mapleroute/fleet/share/SightingStoreTest.java
+++ b/fleet/src/test/java/mapleroute/fleet/share/SightingStoreTest.java
@@ -90,7 +90,7 @@
     private static final List<String> TIER = IntStream.range(0, 10).mapToObj(i -> "s" + i).toList();
 
     private static Set<String> verdict(SightingStore store) {
-        return Verdicts.held(0, store, TIER, "me");
+        return Verdicts.held(0, store, TIER, "me", Set.of());
     }
 
     @Test
--- a/lab/src/main/java/mapleroute/lab/Campaign.java
+++ b/lab/src/main/java/mapleroute/lab/Campaign.java
@@ -16,6 +16,7 @@
 import mapleroute.lab.experiment.Experiment.Mode;
 import mapleroute.lab.experiment.ExperimentReader;
 import mapleroute.lab.experiment.Faults;
+import mapleroute.lab.fleet.SharedFleet;
 import mapleroute.lab.measure.Result;
 import mapleroute.lab.policy.Policies;
 import mapleroute.lab.socket.SocketWorld;
@@ -127,7 +128,8 @@
             for (Day day : days) {
                 played.add(pool.submit(() -> {
                     VirtualWorld.Played one = VirtualWorld.play(day.experiment(), day.seed(), day.policy(),
-                        day.point(), threads == 1, new Progress(days.size(), done.get()));
+                        day.point(), clock -> new SharedFleet(day.experiment(), day.seed(), clock),
+                        threads == 1, new Progress(days.size(), done.get()));
                     done.incrementAndGet();
                     return one;
                 }));
--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/fleet/AllowanceTrial.java
@@ -0,0 +1,201 @@
+package mapleroute.lab.fleet;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.member.Tuning;
+import mapleroute.fleet.share.Shares;
+import mapleroute.fleet.wire.LoanDesk;
+import mapleroute.fleet.wire.Riders;
+import org.apache.commons.math3.random.RandomDataGenerator;
+import org.apache.commons.math3.random.Well19937c;
+
+/**
+ * One tenant's calls at several processes on the virtual clock, each of which lets them through by its part
+ * of the allowance: an even one, or one that moves to where demand is. Beside them stands a limiter that sees
+ * every call at once and no faults. The shares, their messages and the network are the product's and the
+ * lab's own; the buckets are those of the decisions: a rate, and two seconds of it saved up.
+ */
+public final class AllowanceTrial {
+
+    private static final String TENANT = "north";
+    private static final double STEP_MS = 100;
+    private static final double SAVINGS_S = 2;
+    /** The fleet has formed by then; demand begins. */
+    private static final double FROM_MS = 20_000;
+    private static final double LENGTH_MS = 40_000;
+
+    /**
+     * What a trial is like.
+     *
+     * @param processes how many
+     * @param allowance of the tenant, in calls a second over all
+     * @param demand calls a second that come, over all
+     * @param hot the part of them that comes to one process alone; the rest comes evenly
+     * @param moves whether that process is another one every ten seconds
+     * @param shared whether shares move
+     * @param liars so many processes ask for absurd loans and answer every question with absurd ones
+     * @param faults what goes wrong, from the start of the fleet on
+     */
+    public record Setting(int processes, double allowance, double demand, double hot, boolean moves,
+            boolean shared, int liars, long seed, List<Fault> faults) {
+    }
+
+    /**
+     * How it went.
+     *
+     * @param granted calls let through within the share
+     * @param ideal what the limiter that sees all let through
+     * @param overshoot the most by which any ten seconds exceeded the allowance, as a part of it
+     * @param nearlyWholeMs from the first demand until the hot process has nine tenths of what it could have,
+     *     or below 0
+     */
+    public record Outcome(long granted, long ideal, double overshoot, double nearlyWholeMs) {
+    }
+
+    private static final class Bucket {
+        double tokens;
+        boolean full = true;
+
+        boolean take(double rate, double elapsedMs) {
+            double most = 1 + SAVINGS_S * rate;
+            tokens = full ? most : Math.min(most, tokens + rate * elapsedMs / 1000);
+            full = false;
+            return tokens >= 1;
+        }
+    }
+
+    private final class Process implements Rider {
+        final VirtualFleet.Node node;
+        final Shares shares;
+        final Riders riders;
+        final Bucket bucket = new Bucket();
+        double rate;
+
+        Process(VirtualFleet.Node node) {
+            this.node = node;
+            shares = new Shares(random.split());
+            riders = new Riders().with("l", new LoanDesk(shares));
+            rate = setting.allowance() / setting.processes();
+        }
+
+        @Override
+        public ByteBuffer next(double now, int bytes, int members) {
+            return riders.next(now, bytes, members);
+        }
+
+        @Override
+        public void hear(double now, ByteBuffer told, double transitMs) {
+            riders.hear(now, told, transitMs);
+        }
+
+        @Override
+        public ByteBuffer asked(double now, String from, long sequence, ByteBuffer question) {
+            return node.number < setting.liars() ? Riders.wrapped("l", LoanDesk.answer(1e12))
+                : riders.asked(now, from, sequence, question);
+        }
+
+        @Override
+        public void told(double now, String from, long sequence, ByteBuffer answer) {
+            riders.told(now, from, sequence, answer);
+        }
+
+        void advance(double now) {
+            shares.own(now, TENANT, setting.allowance() / setting.processes());
+            List<String> others = processes.stream().filter(other -> other != this)
+                .map(other -> other.node.name).toList();
+            if (node.number < setting.liars()) {
+                others.forEach(other -> node.membership.ask(now, other, Riders.wrapped("l",
+                    LoanDesk.question(new Shares.Question(other, TENANT, 1e12)))));
+            }
+            shares.advance(now, others, question -> node.membership.ask(now, question.lender(),
+                Riders.wrapped("l", LoanDesk.question(question))));
+            node.plan();
+            rate = shares.rate(now, TENANT);
+        }
+    }
+
+    private final Setting setting;
+    private final SplittableRandom random;
+    private final VirtualFleet fleet;
+    private final List<Process> processes = new ArrayList<>();
+    /** What was let through in each step. */
+    private final List<Long> through = new ArrayList<>();
+
+    private AllowanceTrial(Setting setting) {
+        this.setting = setting;
+        random = new SplittableRandom(setting.seed() * 131 + 5);
+        fleet = new VirtualFleet(new FleetPlan(setting.processes(), setting.seed(), 3000, 2, 0,
+            setting.faults()), Tuning.DEFAULT, true, Interposer.NONE, (now, at, before, is) -> { }, node -> {
+                Process process = new Process(node);
+                processes.removeIf(old -> old.node == node);
+                processes.add(process);
+                return process;
+            });
+    }
+
+    /** Plays one. */
+    public static Outcome play(Setting setting) {
+        return new AllowanceTrial(setting).play();
+    }
+
+    private Outcome play() {
+        fleet.play(FROM_MS);
+        Bucket central = new Bucket();
+        long granted = 0;
+        long ideal = 0;
+        double nearly = -1;
+        RandomDataGenerator demand = new RandomDataGenerator(new Well19937c(setting.seed()));
+        for (double at = 0; at < LENGTH_MS; at += STEP_MS) {
+            fleet.play(FROM_MS + at + STEP_MS);
+            int hot = setting.moves() ? (int) (at / 10_000) * 3 % setting.processes() : 0;
+            long let = 0;
+            long asked = 0;
+            for (Process process : List.copyOf(processes)) {
+                double part = (1 - setting.hot()) / setting.processes()
+                    + (process.node.number == hot ? setting.hot() : 0);
+                double mean = setting.demand() * part * STEP_MS / 1000;
+                int calls = mean > 0 ? (int) demand.nextPoisson(mean) : 0;
+                asked += calls;
+                if (!process.node.runs() || process.node.paused) {
+                    continue;
+                }
+                if (setting.shared()) {
+                    for (int i = 0; i < calls; i++) {
+                        process.shares.called(TENANT);
+                    }
+                    process.advance(process.node.clock());
+                }
+                process.bucket.take(process.rate, STEP_MS);
+                for (int i = 0; i < calls && process.bucket.tokens >= 1; i++) {
+                    process.bucket.tokens--;
+                    let++;
+                }
+                double whole = Math.min(setting.allowance(), setting.demand() * part);
+                if (process.node.number == hot && nearly < 0 && process.rate >= 0.9 * whole) {
+                    nearly = at + STEP_MS;
+                }
+            }
+            central.take(setting.allowance(), STEP_MS);
+            long could = Math.min(asked, (long) central.tokens);
+            central.tokens -= could;
+            ideal += could;
+            granted += let;
+            through.add(let);
+        }
+        return new Outcome(granted, ideal, overshoot(), nearly);
+    }
+
+    private double overshoot() {
+        int window = (int) (10_000 / STEP_MS);
+        double worst = 0;
+        // The first savings are full at every process and at the limiter alike.
+        for (int from = window / 2; from + window <= through.size(); from++) {
+            long sum = through.subList(from, from + window).stream().mapToLong(Long::longValue).sum();
+            worst = Math.max(worst, sum / (setting.allowance() * 10) - 1);
+        }
+        return worst;
+    }
+}
--- a/lab/src/main/java/mapleroute/lab/fleet/SharingTrial.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/SharingTrial.java
@@ -217,7 +217,7 @@
                     judge(process, one);
                 }
             }
-            held.addAll(Verdicts.held(now, process.store, tier, process.node.name));
+            held.addAll(Verdicts.held(now, process.store, tier, process.node.name, Set.of()));
         }
         process.held = held;
         return wasted;
--- a/lab/src/main/java/mapleroute/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/VirtualFleet.java
@@ -48,9 +48,11 @@
         boolean startedEver;
         double alarmMs = Double.POSITIVE_INFINITY;
         long process;
+        final Profile profile;
 
-        Node(int number) {
+        Node(int number, Profile profile) {
             this.number = number;
+            this.profile = profile;
             name = "m" + number;
             address = "10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255) + ":7000";
         }
@@ -67,8 +69,8 @@
             startedEver = true;
             process++;
             alarmMs = Double.POSITIVE_INFINITY;
-            membership = new Membership(tuning, name, address, new Profile("z" + number % 3, "front", "1",
-                Profile.Phase.READY, ""), random.nextLong(), this, riders.apply(this), clock());
+            membership = new Membership(tuning, name, address, profile, random.nextLong(), this,
+                riders.apply(this), clock());
             plan();
         }
 
@@ -167,8 +169,8 @@
         }
     }
 
-    private final VirtualTime time = new VirtualTime();
-    private final double startMs = time.now();
+    private final VirtualTime time;
+    private final double startMs;
     private final SplittableRandom random;
     private final Tuning tuning;
     private final Net net;
@@ -196,7 +198,15 @@
     /** The same, with what rides on answers: asked for each process that starts. */
     VirtualFleet(FleetPlan plan, Tuning tuning, boolean encoded, Interposer interposer, Watcher watcher,
             Function<Node, Rider> riders) {
+        this(plan, tuning, encoded, interposer, watcher, riders, new VirtualTime());
+    }
+
+    /** The same on a clock that others use too; members may join later. */
+    VirtualFleet(FleetPlan plan, Tuning tuning, boolean encoded, Interposer interposer, Watcher watcher,
+            Function<Node, Rider> riders, VirtualTime time) {
         this.riders = riders;
+        this.time = time;
+        startMs = time.now();
         this.tuning = tuning;
         this.interposer = interposer;
         this.watcher = watcher;
@@ -204,17 +214,23 @@
         net = new Net(random.split(), plan.loss());
         codec = encoded ? new MessageCodec("lab") : null;
         for (int i = 0; i < plan.members(); i++) {
-            Node node = new Node(i);
-            nodes.add(node);
-            byAddress.put(node.address, node);
-            if (i < plan.seeds()) {
-                seeds.add(node.address);
-            }
+            Node node = add(plan.seeds(), new Profile("z" + i % 3, "front", "1", Profile.Phase.READY, ""));
             time.after(i < plan.seeds() ? 0 : random.nextDouble() * plan.startOver(), node::start);
         }
         plan.faults().forEach(fault -> time.after(fault.at(), () -> strike(fault)));
     }
 
+    /** A further member, which has not started; the first ones of all are the seeds. */
+    Node add(int seeds, Profile profile) {
+        Node node = new Node(nodes.size(), profile);
+        nodes.add(node);
+        byAddress.put(node.address, node);
+        if (this.seeds.size() < seeds) {
+            this.seeds.add(node.address);
+        }
+        return node;
+    }
+
     private void strike(Fault fault) {
         switch (fault.kind()) {
             case KILL, LEAVE -> {
--- a/lab/src/main/java/mapleroute/lab/policy/Policies.java
+++ b/lab/src/main/java/mapleroute/lab/policy/Policies.java
@@ -15,6 +15,9 @@
     /** The sidecar's own decisions. */
     public static final String DECIDE = "decide";
 
+    /** The same with what the fleet shares. */
+    public static final String SHARED = "shared";
+
     private interface Maker {
         Events make(Settings settings, long seed, Actions host);
     }
@@ -23,6 +26,7 @@
 
     static {
         ALL.put(DECIDE, Decide::new);
+        ALL.put(SHARED, Decide::new);
         ALL.put("random", RandomChoice::new);
         ALL.put("round-robin", RoundRobin::new);
         ALL.put("least-outstanding", LeastOutstanding::new);
--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/virtual/Peers.java
@@ -0,0 +1,36 @@
+package mapleroute.lab.virtual;
+
+import java.util.List;
+import java.util.function.BiConsumer;
+import mapleroute.Contract.Guidance;
+import mapleroute.Contract.Outcome;
+import mapleroute.Contract.Server;
+import mapleroute.Contract.Settings;
+import mapleroute.lab.world.Sidecars.Post;
+
+/** The fleet that virtual sidecars share what they see in. */
+public interface Peers {
+
+    /** One sidecar's part in it. */
+    interface Peer {
+
+        /** A list has come to the sidecar. */
+        void listed(boolean full, List<Server> servers);
+
+        /** A client's call has come. */
+        void called(int tenant);
+
+        /** An attempt has ended. */
+        void ended(String server, Outcome outcome);
+
+        /** The sidecar's process has ended without a word. */
+        void end();
+    }
+
+    /**
+     * A sidecar's process takes part.
+     *
+     * @param advice takes for how many milliseconds an advice is good, and the advice
+     */
+    Peer join(Post post, Settings settings, BiConsumer<Double, Guidance> advice);
+}
--- a/lab/src/main/java/mapleroute/lab/virtual/VirtualSidecar.java
+++ b/lab/src/main/java/mapleroute/lab/virtual/VirtualSidecar.java
@@ -97,18 +97,28 @@
     private long version;
     private Discovery.Pending watch;
     private Time.Alarm silence;
+    /** Null where nothing is shared. */
+    private final Peers.Peer peer;
 
     interface PolicyMaker {
         Events make(Settings settings, long seed, Actions host);
     }
 
-    VirtualSidecar(Scene scene, Post post, Settings settings, PolicyMaker maker) {
+    VirtualSidecar(Scene scene, Post post, Settings settings, PolicyMaker maker, Peers peers) {
         this.scene = scene;
         this.post = post;
         this.settings = settings;
         random = new SplittableRandom(post.seed());
         policy = maker.make(settings, post.seed(), this);
         version = post.version();
+        peer = peers == null ? null : peers.join(post, settings, (forMs, advice) -> {
+            if (alive) {
+                raise(now -> policy.onGuidance(now, advice.until(now + forMs)));
+            }
+        });
+        if (peer != null) {
+            peer.listed(true, post.known());
+        }
         scene.told(post.number(), post.tier(), new Discovery.Listing(version, true, post.known()));
         raise(now -> policy.onServers(now, ListKind.CACHED, post.known()));
     }
@@ -149,6 +159,9 @@
         }
         call.taken = true;
         scene.facts().taken(scene.now(), call);
+        if (peer != null) {
+            peer.called(call.first.tenant);
+        }
         Open open = new Open(call, answer, settings.limits().tries());
         table.put(call.id, open);
         open.overdue = scene.time().after(call.deadline - scene.now() + OVERDUE_MS, () -> overdue(open));
@@ -188,6 +201,9 @@
             return;
         }
         alive = false;
+        if (peer != null) {
+            peer.end();
+        }
         events.clear();
         if (watch != null) {
             watch.cancel();
@@ -400,6 +416,9 @@
 
     private void report(Open open, Try made, Outcome outcome) {
         double took = Math.max(0, scene.now() - made.sentAt);
+        if (peer != null) {
+            peer.ended(made.nodo.id, outcome);
+        }
         raise(now -> {
             open.out--;
             policy.onFinished(now, new Finished(open.call.id, made.number, made.nodo.id, outcome, took,
@@ -477,6 +496,9 @@
         version = listing.version();
         subscribe();
         scene.told(post.number(), post.tier(), listing);
+        if (peer != null) {
+            peer.listed(listing.full(), listing.servers());
+        }
         raise(now -> policy.onServers(now, listing.full() ? ListKind.FULL : ListKind.DELTA,
             listing.servers()));
     }
--- a/lab/src/main/java/mapleroute/lab/virtual/VirtualWorld.java
+++ b/lab/src/main/java/mapleroute/lab/virtual/VirtualWorld.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.DoubleConsumer;
+import java.util.function.Function;
 import mapleroute.Contract.Limits;
 import mapleroute.Contract.RequestClass;
 import mapleroute.Contract.Rules;
@@ -41,21 +42,25 @@
     private final String policy;
     private final VirtualTime time = new VirtualTime();
     private final List<VirtualSidecar> sidecars = new ArrayList<>();
+    /** Null where sidecars share nothing. */
+    private final Peers peers;
     private Scene scene;
 
-    private VirtualWorld(Experiment experiment, String policy) {
+    private VirtualWorld(Experiment experiment, String policy, Function<VirtualTime, Peers> fleet) {
         this.experiment = experiment;
         this.policy = policy;
+        peers = policy.equals(Policies.SHARED) ? fleet.apply(time) : null;
     }
 
     /**
      * Plays one day; {@code progress} hears the part that is over, from 0 to 1.
      *
+     * @param fleet makes the fleet in which sidecars share, on the day's clock; asked where the policy shares
      * @param weighed whether the memory it takes is looked at, which wants this process to itself
      */
     public static Played play(Experiment experiment, long seed, String policy, Map<String, String> point,
-            boolean weighed, DoubleConsumer progress) {
-        return new VirtualWorld(experiment, policy).play(seed, point, weighed, progress);
+            Function<VirtualTime, Peers> fleet, boolean weighed, DoubleConsumer progress) {
+        return new VirtualWorld(experiment, policy, fleet).play(seed, point, weighed, progress);
     }
 
     private Played play(long seed, Map<String, String> point, boolean weighed, DoubleConsumer progress) {
@@ -111,7 +116,7 @@
     @Override
     public SidecarPort start(Post post, Runnable ready) {
         VirtualSidecar sidecar = new VirtualSidecar(scene, post, settings(experiment, post),
-            (settings, seed, host) -> Policies.make(policy, settings, seed, host));
+            (settings, seed, host) -> Policies.make(policy, settings, seed, host), peers);
         sidecars.add(sidecar);
         time.after(experiment.world().startMs(), () -> {
             if (sidecar.isAlive()) {
--- a/lab/src/test/java/mapleroute/lab/ArchitectureTest.java
+++ b/lab/src/test/java/mapleroute/lab/ArchitectureTest.java
@@ -66,9 +66,9 @@
     }
 
     @Test
-    void inASidecarOnePartAloneKnowsOfTheFleet() {
+    void inASidecarTheFleetsPartsAloneKnowOfTheFleet() {
         noClasses().that().resideInAPackage("mapleroute.sidecar..").and()
-            .haveNameNotMatching("mapleroute\\.sidecar\\.FleetPart.*")
+            .haveNameNotMatching("mapleroute\\.sidecar\\.Fleet(Part|Sharing).*")
             .should().dependOnClassesThat().resideInAPackage("mapleroute.fleet..").check(ALL);
     }
 
--- a/lab/src/test/java/mapleroute/lab/report/ReportTest.java
+++ b/lab/src/test/java/mapleroute/lab/report/ReportTest.java
@@ -34,8 +34,10 @@
         Experiment slow = Days.small("- {kind: slow, at: 0s, for: 6s, factor: 3}", "duration", "3s");
         for (long seed = 1; seed <= 3; seed++) {
             for (String policy : List.of("decide", "random")) {
-                DAYS.add(VirtualWorld.play(e, seed, policy, Map.of(), false, part -> { }).result());
-                SLOWER.add(VirtualWorld.play(slow, seed, policy, Map.of(), false, part -> { }).result());
+                DAYS.add(VirtualWorld.play(e, seed, policy, Map.of(), clock -> null, false,
+                    part -> { }).result());
+                SLOWER.add(VirtualWorld.play(slow, seed, policy, Map.of(), clock -> null, false,
+                    part -> { }).result());
             }
         }
     }
--- a/lab/src/test/java/mapleroute/lab/virtual/VirtualWorldTest.java
+++ b/lab/src/test/java/mapleroute/lab/virtual/VirtualWorldTest.java
@@ -16,7 +16,8 @@
 class VirtualWorldTest {
 
     private static Result play(Experiment experiment, long seed, String policy) {
-        return VirtualWorld.play(experiment, seed, policy, Map.of(), false, part -> { }).result();
+        return VirtualWorld.play(experiment, seed, policy, Map.of(), clock -> null, false,
+                    part -> { }).result();
     }
 
     private static Result play(String troubles, String... changes) throws Exception {
--- a/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
@@ -17,8 +17,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import mapleroute.Contract;
 import mapleroute.Contract.Actions;
 import mapleroute.Contract.Finished;
+import mapleroute.Contract.Guidance;
 import mapleroute.Contract.ListKind;
 import mapleroute.Contract.Load;
 import mapleroute.Contract.Outcome;
@@ -66,6 +68,18 @@
         void tell(double now);
     }
 
+    /** Hears what happens to calls, for the fleet; there is none where this process is in no fleet. */
+    interface Witness {
+        /** The servers that a list names ready; all of them, or changes. */
+        void listed(boolean full, List<Contract.Server> servers);
+
+        /** A client's call has come. */
+        void called(int tenant);
+
+        /** An attempt at a server has ended. */
+        void ended(String server, Outcome outcome);
+    }
+
     private record Queued(Open open, Event event) {
     }
 
@@ -155,6 +169,7 @@
     private final Deque<Queued> events = new ArrayDeque<>();
     private boolean telling;
     private boolean listed;
+    private Witness witness;
 
     Exchange(EventLoop loop, Clock clock, Complaints complaints, EndpointPool endpoints,
             Runnable watch, SidecarConfig config) {
@@ -171,6 +186,20 @@
         }
     }
 
+    /** What happens is told to the fleet too, from now on. */
+    void tell(Witness fleet) {
+        witness = fleet;
+    }
+
+    /** What the fleet advises goes to the module. */
+    void advise(double forMs, Guidance given) {
+        raise(null, now -> module.onGuidance(now, given.until(now + forMs)));
+    }
+
+    Settings settings() {
+        return settings;
+    }
+
     /** Whether a list has named an endpoint yet. */
     boolean knowsEndpoints() {
         return listed;
@@ -204,6 +233,9 @@
     void request(Request request, Message message, Client client) {
         Open open = new Open(request, message, client, clock.now(), settings.limits().tries());
         table.put(request.id(), open);
+        if (witness != null) {
+            witness.called(request.tenant());
+        }
         open.overdue = after(request.deadlineMs() - clock.now() + OVERDUE_MS, () -> overdue(open));
         raise(open, now -> module.onRequest(now, request));
     }
@@ -245,6 +277,9 @@
     private void tellList(ListKind kind, ServerList list) {
         listed |= !list.entries().isEmpty();
         endpoints.update(list);
+        if (witness != null) {
+            witness.listed(kind != ListKind.DELTA, list.servers());
+        }
         raise(null, now -> module.onServers(now, kind, list.servers()));
     }
 
@@ -408,6 +443,9 @@
         double took = made.streaming ? made.tookMs : took(open, made);
         made.outcome = outcome;
         made.tookMs = took;
+        if (witness != null) {
+            witness.ended(made.server, outcome);
+        }
         raise(open, now -> {
             open.out--;
             module.onFinished(now, new Finished(open.request.id(), made.number, made.server, outcome, took,
--- a/sidecar/src/main/java/mapleroute/sidecar/FleetPart.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/FleetPart.java
@@ -7,6 +7,7 @@
 import mapleroute.fleet.host.FleetConfig;
 import mapleroute.fleet.host.FleetHost;
 import mapleroute.fleet.member.Profile;
+import mapleroute.fleet.member.Rider;
 
 /** A sidecar's part in its fleet. Only a configuration with a fleet has this class loaded. */
 final class FleetPart {
@@ -15,10 +16,26 @@
     private static final int PHASE_MS = 100;
     private static final String UNKNOWN_VERSION = "0";
 
-    private final FleetHost host;
+    private final SidecarConfig config;
+    private final FleetConfig fleet;
+    /** Null where the configuration does not say that it shares. */
+    private final FleetSharing sharing;
+    /** Null until it takes part. */
+    private volatile FleetHost host;
 
-    private FleetPart(FleetHost host) {
-        this.host = host;
+    /**
+     * Makes ready to take part. Called on the loop before anything else happens there, so that no list is
+     * missed.
+     *
+     * @throws IllegalArgumentException naming the field that is missing or bad
+     */
+    FleetPart(SidecarConfig config, Exchange exchange) {
+        this.config = config;
+        fleet = FleetConfig.of(config.fleet());
+        if (!Profile.isWord(config.name())) {
+            throw ServerList.bad("name", config.name());
+        }
+        sharing = fleet.shares() ? new FleetSharing(config, exchange) : null;
     }
 
     /**
@@ -27,29 +44,36 @@
      * @param door where operators connect, or empty
      * @param phase tells, on the loop, whether this process serves
      */
-    static FleetPart start(EventLoop loop, SidecarConfig config, String door, Supplier<String> phase,
-            Complaints complaints) throws IOException {
-        FleetConfig fleet = FleetConfig.of(config.fleet());
-        if (!Profile.isWord(config.name())) {
-            throw ServerList.bad("name", config.name());
-        }
+    void start(EventLoop loop, String door, Supplier<String> phase, Complaints complaints)
+            throws IOException {
         String own = FleetPart.class.getPackage().getImplementationVersion();
         String version = !fleet.version().isEmpty() ? fleet.version() : own == null ? UNKNOWN_VERSION : own;
         // The seed is new with each start, but a second process of an upgrade may be told the same one.
-        FleetHost host = FleetHost.start(loop, Sidecar.BUFFERS, fleet, config.name(),
+        host = FleetHost.start(loop, Sidecar.BUFFERS, fleet, config.name(),
             new Profile(fleet.zone(), fleet.tier(), version, Profile.Phase.STARTING, door),
-            config.seed() ^ System.nanoTime(), complaints::say);
+            config.seed() ^ System.nanoTime(), sharing == null ? Rider.NONE : sharing.rider(),
+            complaints::say);
         loop.scheduleWithFixedDelay(() -> host.phase(Profile.Phase.valueOf(phase.get())), 0, PHASE_MS,
             TimeUnit.MILLISECONDS);
-        return new FleetPart(host);
+        if (sharing != null) {
+            loop.execute(() -> sharing.start(loop, host));
+        }
     }
 
+    /** Who is present, as one line of JSON; null before it takes part. */
     String members() {
-        return host.members();
+        return host == null ? null : host.members();
+    }
+
+    /** What is shared, as one line of JSON; null where nothing is. */
+    String shared() {
+        return sharing == null || host == null ? null : sharing.status();
     }
 
     /** SIGTERM has come. */
     void leave() {
-        host.leave();
+        if (host != null) {
+            host.leave();
+        }
     }
 }
--- /dev/null
+++ b/sidecar/src/main/java/mapleroute/sidecar/FleetSharing.java
@@ -0,0 +1,120 @@
+package mapleroute.sidecar;
+
+import io.netty.channel.EventLoop;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import mapleroute.Contract.Guidance;
+import mapleroute.Contract.Outcome;
+import mapleroute.Contract.Server;
+import mapleroute.Contract.Settings;
+import mapleroute.Contract.State;
+import mapleroute.Contract.Tenant;
+import mapleroute.fleet.host.FleetHost;
+import mapleroute.fleet.host.StatusJson;
+import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.share.Eyes;
+import mapleroute.fleet.share.Sharing;
+import mapleroute.fleet.wire.LoanDesk;
+import mapleroute.fleet.wire.Riders;
+import mapleroute.fleet.wire.SightingRider;
+
+/**
+ * Brings what this sidecar sees to the fleet, and what the fleet advises to the decisions. Only a
+ * configuration whose fleet shares has this class loaded.
+ */
+final class FleetSharing implements Exchange.Witness {
+
+    /** The letters under which the kinds of shared state travel. */
+    private static final String SIGHTINGS = "s";
+    private static final String LOANS = "l";
+
+    private final Exchange exchange;
+    private final Sharing sharing;
+    private final Riders riders;
+    private final SightingRider sightings;
+    private final LoanDesk loans;
+    private FleetHost host;
+    private Settings seen;
+
+    FleetSharing(SidecarConfig config, Exchange exchange) {
+        this.exchange = exchange;
+        // Another with each start, though the configuration may be the same.
+        SplittableRandom random = new SplittableRandom(config.seed() + System.nanoTime());
+        sharing = new Sharing(0, config.name(), random.nextLong() >>> 1, random);
+        sightings = new SightingRider(sharing.sightings());
+        loans = new LoanDesk(sharing.shares());
+        riders = new Riders().with(LOANS, loans).with(SIGHTINGS, sightings);
+        listed(true, config.known().servers());
+        exchange.tell(this);
+    }
+
+    Rider rider() {
+        return riders;
+    }
+
+    /** Begins, on the loop; from then on it is called there alone. */
+    void start(EventLoop loop, FleetHost carrier) {
+        host = carrier;
+        loop.scheduleWithFixedDelay(this::advance, 0, (long) Sharing.EVERY_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void advance() {
+        Settings settings = exchange.settings();
+        if (settings != seen) {
+            seen = settings;
+            Map<String, Double> allowances = new LinkedHashMap<>();
+            if (settings.tier() == 0) {
+                // Behind the first tier a call is within its tenant's share already.
+                settings.tenants().forEach(tenant ->
+                    allowances.put(tenant.name(), tenant.allowancePerSecond()));
+            }
+            sharing.allowances(allowances, settings.balancers());
+        }
+        double now = host.now();
+        Sharing.Advice advice = sharing.advance(now, host::view, question ->
+            host.ask(question.lender(), Riders.wrapped(LOANS, LoanDesk.question(question))));
+        List<Double> rates = settings.tier() > 0 ? List.of()
+            : settings.tenants().stream().map(tenant -> advice.rates().get(tenant.name())).toList();
+        exchange.advise(advice.untilMs() - now,
+            new Guidance(0, advice.ailing(), Set.of(), 0, rates));
+    }
+
+    @Override
+    public void listed(boolean full, List<Server> changes) {
+        sharing.listed(full, changes.stream().collect(Collectors.toMap(Server::id,
+            server -> server.state() == State.READY, (before, after) -> after)));
+    }
+
+    @Override
+    public void called(int tenant) {
+        List<Tenant> tenants = exchange.settings().tenants();
+        if (tenant < tenants.size()) {
+            sharing.called(tenants.get(tenant).name());
+        }
+    }
+
+    @Override
+    public void ended(String server, Outcome outcome) {
+        switch (outcome) {
+            case OK -> sharing.saw(server, Eyes.Fate.ANSWERED);
+            case FAILED -> sharing.saw(server, Eyes.Fate.ERROR);
+            case CONNECT_ERROR -> sharing.saw(server, Eyes.Fate.UNREACHABLE);
+            case RESET, TIMED_OUT -> sharing.saw(server, Eyes.Fate.SILENT);
+            default -> {
+                // Full, called off or never sent: it says nothing of whether the server is well.
+            }
+        }
+    }
+
+    /** The state for operators, as one line of JSON. */
+    String status() {
+        Map<String, Object> status = sharing.status(host.now());
+        status.put("unreadable", riders.unreadable() + sightings.unreadable() + loans.unreadable());
+        return StatusJson.of(status);
+    }
+}
--- a/sidecar/src/main/java/mapleroute/sidecar/ManagementServer.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/ManagementServer.java
@@ -51,6 +51,9 @@
 
         /** Who is present, as one line of JSON; null where there is no fleet. */
         String members();
+
+        /** What is shared with other processes, as one line of JSON; null where nothing is. */
+        String shared();
     }
 
     private final EventLoop loop;
@@ -90,9 +93,13 @@
 
     private String answer(String line) {
         String[] words = line.trim().split("\\s+");
-        if (words.length == 1 && words[0].equals("members")) {
-            String members = operated.members();
-            return members == null ? "error this process is in no fleet" : "done " + members;
+        String told = words.length > 1 ? null : switch (words[0]) {
+            case "members" -> told(operated.members(), "is in no fleet");
+            case "shared" -> told(operated.shared(), "shares nothing");
+            default -> null;
+        };
+        if (told != null) {
+            return told;
         }
         String refused = words.length > 2 ? UNKNOWN : words.length == 2
             ? switch (words[0]) {
@@ -108,6 +115,10 @@
         return refused == null ? "done" : "error " + refused;
     }
 
+    private static String told(String status, String otherwise) {
+        return status == null ? "error this process " + otherwise : "done " + status;
+    }
+
     private final class Caller extends SimpleChannelInboundHandler<ByteBuf> {
         private Future<?> silent;
         private boolean answered;
--- a/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -82,7 +82,7 @@
     private ManagementServer management;
     private Maintenance maintenance;
     /** Null where the configuration names no fleet: then nothing of it is loaded. */
-    private volatile FleetPart fleet;
+    private FleetPart fleet;
     private volatile SidecarConfig config;
     private EndpointPool endpoints;
     private int sockets;
@@ -118,8 +118,8 @@
                 sidecar.follow(inherited.folder());
             }
             if (config.fleet() != null) {
-                sidecar.fleet = FleetPart.start(sidecar.loop, config, sidecar.managementText(),
-                    sidecar::phase, sidecar.complaints);
+                sidecar.fleet.start(sidecar.loop, sidecar.managementText(), sidecar::phase,
+                    sidecar.complaints);
             }
             sidecar.warm(config, log);
             return sidecar;
@@ -150,6 +150,7 @@
         discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints,
             config.seed());
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
+        fleet = config.fleet() == null ? null : new FleetPart(config, exchange);
         discovery.listen(new DiscoveryClient.Listener() {
             @Override
             public void listed(ServerList list) {
@@ -329,6 +330,11 @@
             return fleet == null ? null : fleet.members();
         }
 
+        @Override
+        public String shared() {
+            return fleet == null ? null : fleet.shared();
+        }
+
         @Override
         public String standby() {
             // A repeated call must not put off what the first has begun.
