Add duties that one process holds at a time: keepers, leases, fencing tokens

Need: work that must be done once (a release, a zone's reader) needs one holder, also while two sides of a cut both believe that they live; membership must not decide it.

The ledger has no time in it: the leader asks for the end of a lease by its own clock, from when it knows or leads; a holder counts from before it asked and stops earlier. Tokens only grow; Fence refuses lower ones. Waiting requests are parked at the leader, so a duty that is given up is the next one's with one commit. A sidecar that names duties wants them while it serves, and gives them back on standby and SIGTERM; door call `duties`, `fleet duties`, `duties move`.

Roads not taken: keepers inside sidecars (no disk survives a sidecar, a restart of the front would be one of the keepers, and 150 MB of memory); consensus by hand; joining a keeper anew by itself (a word of operators is asked, as two at once can lose a majority).

Real: 3 keepers and 2 sidecars, moved by a word, by SIGTERM, by SIGKILL, with the keepers' leader killed between: each time the token grows. A keeper takes 150 MB.

--- a/fleet/src/main/java/mapleroute/fleet/cli/Door.java
+++ b/fleet/src/main/java/mapleroute/fleet/cli/Door.java
@@ -28,6 +28,15 @@
 
     /** Asks, and reads what comes after {@code done}. */
     JsonNode ask(String call) throws IOException {
+        String answer = tell(call);
+        if (!answer.startsWith("done ")) {
+            throw new IOException(address + " says: " + answer);
+        }
+        return JSON.readTree(answer.substring("done ".length()));
+    }
+
+    /** Asks, and gives the answer as it is; one that is no {@code done} is an exception. */
+    String tell(String call) throws IOException {
         int colon = address.lastIndexOf(':');
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(address.substring(0, colon),
@@ -35,10 +44,10 @@
             socket.setSoTimeout(PATIENCE_MS);
             socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.UTF_8));
             String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8).trim();
-            if (!answer.startsWith("done ")) {
+            if (!answer.startsWith("done")) {
                 throw new IOException(address + " says: " + (answer.isEmpty() ? "nothing" : answer));
             }
-            return JSON.readTree(answer.substring("done ".length()));
+            return answer;
         } catch (IOException e) {
             throw e.getMessage() != null && e.getMessage().startsWith(address) ? e
                 : new IOException("no answer from " + address + ": " + e.getMessage(), e);
--- a/fleet/src/main/java/mapleroute/fleet/cli/FleetCommand.java
+++ b/fleet/src/main/java/mapleroute/fleet/cli/FleetCommand.java
@@ -6,8 +6,8 @@
 
 /** The command line for operators of a fleet. */
 @Command(name = "fleet", mixinStandardHelpOptions = true, versionProvider = FleetCommand.Version.class,
-    subcommands = {MembersCommand.class, WatchCommand.class},
-    description = "Shows what a process of a fleet sees, by way of its operators' door.",
+    subcommands = {MembersCommand.class, WatchCommand.class, DutiesCommand.class, KeepCommand.class},
+    description = "Shows what a process of a fleet sees, by way of its operators' door, and runs keepers.",
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:all went well", "1:the process gave no answer, or an error",
         "2:the command line is wrong"},
@@ -29,6 +29,8 @@
 
     /** Runs one command and ends with its status. */
     public static void main(String[] args) {
+        // The keepers' library tells of each vote; what operators need of it the keeper tells itself.
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error");
         System.exit(commandLine().execute(args));
     }
 
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/cli/KeepCommand.java
@@ -0,0 +1,63 @@
+package mapleroute.fleet.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import mapleroute.fleet.keeper.KeeperConfig;
+import mapleroute.fleet.keeper.KeeperHost;
+import picocli.CommandLine.ArgGroup;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Runs a keeper until it is ended. */
+@Command(name = "keep", mixinStandardHelpOptions = true,
+    description = "Runs a keeper of the fleet's duties until SIGTERM. Without an option it goes on with the"
+        + " log that its folder holds, and refuses to start without one.",
+    footerHeading = "%nExamples:%n", footer = {"  fleet keep k1.json --found", "  fleet keep k1.json"})
+final class KeepCommand implements Callable<Integer> {
+
+    /** At most one of these. */
+    static final class How {
+        @Option(names = "--found", description =
+            "The very first start of all founders, when none of them has a log.")
+        private boolean found;
+
+        @Option(names = "--join", description =
+            "After the log was lost: as a new keeper, which 'fleet keeper add' has still to let in.")
+        private boolean join;
+    }
+
+    @Spec
+    private CommandSpec spec;
+
+    @ArgGroup(exclusive = true, multiplicity = "0..1")
+    private How how = new How();
+
+    @Parameters(paramLabel = "FILE", description = "The keeper's configuration.")
+    private Path file;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        KeeperConfig config = KeeperConfig.read(file);
+        KeeperHost keeper = KeeperHost.start(config, how.found ? KeeperConfig.How.FOUND
+            : how.join ? KeeperConfig.How.JOIN : KeeperConfig.How.GO_ON, line -> {
+                synchronized (out) {
+                    out.println(line);
+                    out.flush();
+                }
+            });
+        CountDownLatch ended = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            keeper.stop();
+            ended.countDown();
+        }, "ender"));
+        ended.await();
+        return 0;
+    }
+}
--- a/fleet/src/main/java/mapleroute/fleet/duty/DutyClient.java
+++ b/fleet/src/main/java/mapleroute/fleet/duty/DutyClient.java
@@ -25,7 +25,8 @@
      * A keeper's answer.
      *
      * @param done as {@link Ledger.Outcome#done}; false where the keeper does not lead
-     * @param duty as it is, or null where the keeper does not lead
+     * @param duty as it is where it is done; else as the keeper holds it, which may be old; null where the
+     *     keeper does not lead
      * @param leader who leads, as far as that keeper knows; empty for nobody
      */
     public record Answer(boolean done, Ledger.Duty duty, String leader) {
--- a/fleet/src/main/java/mapleroute/fleet/host/FleetConfig.java
+++ b/fleet/src/main/java/mapleroute/fleet/host/FleetConfig.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import mapleroute.fleet.member.Profile;
 import mapleroute.fleet.wire.Addresses;
 
@@ -20,12 +21,16 @@
  * @param tier the tier that it sends to, or empty
  * @param version of the program, or empty for the one it has itself
  * @param shares whether it shares what it sees of servers, and tenants' allowances
+ * @param keepers the names of those that keep the log of duties, or none
+ * @param duties those that this process wants, each with how much: of two that want one the lower number
+ *     goes first
  */
 public record FleetConfig(String fleet, InetSocketAddress listen, String advertise, List<String> seeds,
-        Path seedsFile, String zone, String tier, String version, boolean shares) {
+        Path seedsFile, String zone, String tier, String version, boolean shares, List<String> keepers,
+        Map<String, Integer> duties) {
 
     private static final List<String> KEYS = List.of("name", "listen", "advertise", "seeds", "seeds_file",
-        "zone", "tier", "version", "share");
+        "zone", "tier", "version", "share", "keepers", "duties");
 
     /**
      * Reads the section.
@@ -52,7 +57,8 @@
         return new FleetConfig(word(section, "name", true), listen(section.get("listen")),
             section.get("advertise") == null ? null : address("advertise", section.get("advertise")), seeds,
             file == null ? null : Path.of((String) file), word(section, "zone", false),
-            word(section, "tier", false), word(section, "version", false), flag(section, "share"));
+            word(section, "tier", false), word(section, "version", false), flag(section, "share"),
+            keepers(section), duties(section));
     }
 
     private static InetSocketAddress listen(Object value) {
@@ -83,6 +89,41 @@
         throw bad(field, value);
     }
 
+    private static List<String> keepers(Map<?, ?> section) {
+        Object value = section.get("keepers");
+        if (value == null) {
+            return List.of();
+        }
+        if (value instanceof List<?> list && !list.isEmpty()
+                && list.stream().allMatch(each -> each instanceof String text && Profile.isWord(text))) {
+            return list.stream().map(String::valueOf).toList();
+        }
+        throw bad("keepers", value);
+    }
+
+    private static Map<String, Integer> duties(Map<?, ?> section) {
+        Map<String, Integer> duties = new TreeMap<>();
+        if (section.get("duties") == null) {
+            return duties;
+        }
+        if (!(section.get("duties") instanceof Map<?, ?> map)) {
+            throw bad("duties", section.get("duties"));
+        }
+        map.forEach((duty, preference) -> {
+            boolean usable = duty instanceof String text && Profile.isWord(text)
+                && preference instanceof Number number && number.intValue() == number.doubleValue()
+                && number.intValue() >= 0;
+            if (!usable) {
+                throw bad("duties." + duty, preference);
+            }
+            duties.put((String) duty, ((Number) preference).intValue());
+        });
+        if (section.get("keepers") == null) {
+            throw bad("keepers", null);
+        }
+        return duties;
+    }
+
     private static boolean flag(Map<?, ?> section, String field) {
         Object value = section.get(field);
         if (value == null || value instanceof Boolean) {
--- a/fleet/src/main/java/mapleroute/fleet/host/FleetHost.java
+++ b/fleet/src/main/java/mapleroute/fleet/host/FleetHost.java
@@ -178,6 +178,14 @@
         return sequence;
     }
 
+    /** Answers a question of some time ago; see {@link Membership#tell}. */
+    public void tell(String member, long sequence, ByteBuffer answer) {
+        if (!closed) {
+            membership.tell(now(), member, sequence, answer);
+            plan();
+        }
+    }
+
     /** What this process sees, as one line of JSON. */
     public String members() {
         Map<String, Long> counts = new TreeMap<>(transport.counts());
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/keeper/KeeperHost.java
@@ -0,0 +1,252 @@
+package mapleroute.fleet.keeper;
+
+import io.microraft.MembershipChangeMode;
+import io.microraft.executor.RaftNodeExecutor;
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import mapleroute.fleet.duty.Command;
+import mapleroute.fleet.duty.Ledger;
+import mapleroute.fleet.duty.Terms;
+import mapleroute.fleet.host.FleetHost;
+import mapleroute.fleet.host.LineDoor;
+import mapleroute.fleet.host.StatusJson;
+import mapleroute.fleet.member.Profile;
+import mapleroute.fleet.member.State;
+import mapleroute.fleet.member.View;
+import mapleroute.fleet.wire.Addresses;
+import mapleroute.fleet.wire.DutyCodec;
+import mapleroute.fleet.wire.Riders;
+
+/** A keeper as a process: a member of the fleet that serves nobody, keeps the log, and has a door. */
+public final class KeeperHost implements RaftNodeExecutor, RaftKeeper.Links {
+
+    private static final int ADVANCE_MS = 50;
+    /** At its end a keeper has this long to hand leadership on. */
+    private static final int HAND_OVER_MS = 500;
+    private static final int CLOSE_MS = 1500;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+        new DefaultThreadFactory("keeper"), NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final Riders riders = new Riders();
+    private final Consumer<String> log;
+    private FleetHost host;
+    private RaftKeeper raft;
+    private LineDoor door;
+    /** Who was seen present at the last look, by name. */
+    private View view;
+    private String seen = "";
+
+    private KeeperHost(Consumer<String> log) {
+        this.log = log;
+    }
+
+    /**
+     * Starts one.
+     *
+     * @param how whether it founds the group, joins it anew, or goes on with the log that it has
+     * @param log takes lines for operators
+     * @throws IOException if the folder is not as {@code how} says, its log cannot be read, or an address is
+     *     taken
+     */
+    public static KeeperHost start(KeeperConfig config, KeeperConfig.How how, Consumer<String> log)
+            throws IOException {
+        FolderDisk disk = new FolderDisk(config.folder());
+        if (how == KeeperConfig.How.GO_ON && !disk.holdsLog()) {
+            throw new IOException("there is no log in " + config.folder() + ": a keeper that has lost it must"
+                + " not vote as the same one (keep --join), unless nobody has one yet (keep --found)");
+        }
+        if (how != KeeperConfig.How.GO_ON && disk.holdsLog()) {
+            throw new IOException("there is a log in " + config.folder() + " already: start without --found"
+                + " and --join, or move it away");
+        }
+        long seed = new Random().nextLong();
+        Id self = how == KeeperConfig.How.JOIN
+            ? new Id(config.name() + "/" + Integer.toHexString(new Random(seed).nextInt()))
+            : new Id(config.name());
+        KeeperHost keeper = new KeeperHost(log);
+        try {
+            keeper.begin(config, disk, self, seed);
+        } catch (IOException | RuntimeException e) {
+            keeper.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            throw e;
+        }
+        return keeper;
+    }
+
+    private void begin(KeeperConfig config, FolderDisk disk, Id self, long seed) throws IOException {
+        door = new LineDoor(loop, config.door(), this::answer);
+        host = FleetHost.start(loop, PooledByteBufAllocator.DEFAULT, config.fleet(), config.name(),
+            new Profile(config.fleet().zone(), "keeper", config.fleet().version(), Profile.Phase.READY,
+                Addresses.text(door.address())), seed, riders, log);
+        List<Id> founders = config.founders().stream().map(Id::new).toList();
+        try {
+            loop.submit(() -> {
+                view = host.view();
+                raft = new RaftKeeper(config.group(), self, founders, Terms.DEFAULT,
+                    new RaftKeeper.Parts(this, new Random(~seed), host::now, this, disk));
+                riders.with(DutyCodec.LETTER, raft.desk()).with(RaftKeeper.LETTER, raft.post());
+                loop.scheduleWithFixedDelay(this::advance, 0, ADVANCE_MS, TimeUnit.MILLISECONDS);
+            }).get();
+        } catch (ExecutionException e) {
+            throw e.getCause() instanceof UncheckedIOException io ? io.getCause()
+                : new IOException(e.getCause().getMessage(), e.getCause());
+        } catch (InterruptedException e) {
+            throw new IOException("interrupted while starting", e);
+        }
+        log.accept("keeper: " + self.id() + " of the group " + config.group() + ", log in "
+            + config.folder());
+    }
+
+    private void advance() {
+        view = host.view();
+        raft.advance();
+        String now = raft.leads() ? "leads" : raft.leader().isEmpty() ? "knows no leader"
+            : "follows " + raft.leader();
+        if (!now.equals(seen)) {
+            seen = now;
+            log.accept("keeper: " + raft.self().id() + " " + now + ", term " + raft.term());
+        }
+    }
+
+    // ---- the door ----
+
+    private CompletionStage<String> answer(String line) {
+        String[] words = line.split("\\s+");
+        if (raft == null) {
+            return CompletableFuture.completedFuture("error this process is starting");
+        }
+        return switch (words[0] + " " + words.length) {
+            case "status 1" -> done("");
+            case "members 1" -> done(host.members());
+            case "duties 1" -> done(StatusJson.of(duties()));
+            case "duty-move 3" -> move(words[1], words[2]);
+            case "keeper-add 2" -> change(words[1], MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER);
+            case "keeper-remove 2" -> change(words[1], MembershipChangeMode.REMOVE_MEMBER);
+            default -> CompletableFuture.completedFuture("error unknown call");
+        };
+    }
+
+    private static CompletionStage<String> done(String more) {
+        return CompletableFuture.completedFuture(more.isEmpty() ? "done" : "done " + more);
+    }
+
+    private CompletionStage<String> move(String duty, String member) {
+        if (!raft.ledger().duties().containsKey(duty) || !Profile.isWord(member)) {
+            return CompletableFuture.completedFuture("error there is no duty " + duty);
+        }
+        CompletableFuture<String> answer = new CompletableFuture<>();
+        raft.propose(new Command(Command.Kind.MOVE, duty, member, 0, 0, 0), outcome ->
+            answer.complete(outcome == null ? notLeading() : "done"));
+        return answer;
+    }
+
+    private String notLeading() {
+        return "error this keeper does not lead" + (raft.leader().isEmpty() ? ", nor does it know who does"
+            : "; " + raft.leader() + " does");
+    }
+
+    private CompletionStage<String> change(String id, MembershipChangeMode mode) {
+        return raft.change(new Id(id), mode).handle((members, failure) -> failure == null
+            ? "done the keepers are " + members.getMembers().stream().map(each -> ((Id) each).id()).toList()
+            : raft.leads() ? "error " + failure.getMessage() : notLeading());
+    }
+
+    private Map<String, Object> duties() {
+        Map<String, Object> status = new LinkedHashMap<>();
+        status.put("keeper", raft.self().id());
+        status.put("leads", raft.leads());
+        status.put("leader", raft.leader());
+        status.put("term", raft.term());
+        status.put("votes", raft.votes());
+        status.put("keepers", raft.members().stream().map(Id::id).toList());
+        status.put("restarts", raft.restarts());
+        status.put("unreadable", raft.unreadable());
+        Map<String, Object> all = new LinkedHashMap<>();
+        for (Map.Entry<String, Ledger.Duty> each : raft.ledger().duties().entrySet()) {
+            Ledger.Duty duty = each.getValue();
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("holder", duty.holder());
+            one.put("token", duty.token());
+            one.put("seen_ms", raft.steward().seenAgoMs(host.now(), each.getKey()));
+            one.put("wanted", duty.wanted());
+            one.put("waiting", raft.steward().waiting(each.getKey()));
+            all.put(each.getKey(), one);
+        }
+        status.put("duties", all);
+        return status;
+    }
+
+    // ---- what the keeper asks for ----
+
+    @Override
+    public void execute(Runnable task) {
+        loop.execute(task);
+    }
+
+    @Override
+    public void submit(Runnable task) {
+        loop.execute(task);
+    }
+
+    @Override
+    public void schedule(Runnable task, long delay, TimeUnit unit) {
+        loop.schedule(task, delay, unit);
+    }
+
+    @Override
+    public void send(String keeper, ByteBuffer message) {
+        host.ask(keeper, Riders.wrapped(RaftKeeper.LETTER, message));
+    }
+
+    @Override
+    public void reply(String member, long sequence, ByteBuffer answer) {
+        host.tell(member, sequence, Riders.wrapped(DutyCodec.LETTER, answer));
+    }
+
+    @Override
+    public boolean isPresent(String member) {
+        return view.members().stream().anyMatch(each -> each.held().name().equals(member)
+            && each.held().state() == State.ALIVE);
+    }
+
+    private void await(String what, long ms, Supplier<CompletableFuture<?>> begun) {
+        try {
+            loop.submit(begun::get).get().get(ms, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException | InterruptedException e) {
+            log.accept("keeper: could not " + what + " in " + ms + " ms"
+                + (e.getMessage() == null ? "" : ": " + e.getMessage()));
+        }
+    }
+
+    /** Ends in good order: hands leadership on, tells the fleet, closes the log. */
+    public void stop() {
+        if (raft.leads()) {
+            await("hand leadership on", HAND_OVER_MS, raft::handOver);
+        }
+        await("close the log", CLOSE_MS, raft::end);
+        loop.submit(() -> {
+            host.leave();
+            host.close();
+        }).awaitUninterruptibly();
+        door.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
--- a/fleet/src/main/java/mapleroute/fleet/member/Membership.java
+++ b/fleet/src/main/java/mapleroute/fleet/member/Membership.java
@@ -235,7 +235,7 @@
     /**
      * Asks a member something; its answer comes to {@link Rider#told}, or never.
      *
-     * @param question at most {@value #NEWS_BYTES} bytes
+     * @param question over {@value #NEWS_BYTES} bytes it goes by a connection
      * @return the number under which the answer comes, or -1 where there is no such member, or this process
      *     is not one itself
      */
@@ -243,8 +243,7 @@
         enter(now);
         MemberTable.Entry entry = table.get(member);
         long sequence = -1;
-        if (entry != null && entry.held.state() == State.ALIVE && self.successor() == null
-                && question.remaining() <= NEWS_BYTES) {
+        if (entry != null && entry.held.state().isPresent() && self.successor() == null) {
             sequence = ++questions;
             send(Message.Kind.ASK, member, entry.held.address(), sequence, member, "", question);
         }
@@ -310,7 +309,7 @@
         ByteBuffer riding = kind == Message.Kind.ACK && self.successor() == null
             ? rider.next(nowMs, left, table.present()) : said;
         port.send(address, new Message(kind, self.name, self.address, self.run, sequence, target,
-            targetAddress, table.viewDigest(), List.of(), updates, riding), false);
+            targetAddress, table.viewDigest(), List.of(), updates, riding), said.remaining() > NEWS_BYTES);
     }
 
     private void gossip(int fanout) {
--- a/lab/src/main/java/mapleroute/lab/Lab.java
+++ b/lab/src/main/java/mapleroute/lab/Lab.java
@@ -39,12 +39,15 @@
     public static void main(String[] args) {
         // Plots are drawn without a screen.
         System.setProperty("java.awt.headless", "true");
+        // The keepers' library tells of each step; what comes of it is what the lab tells.
+        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "off");
         System.exit(commandLine().execute(args));
     }
 
     /** The command line, with what goes wrong told in plain lines. */
     static CommandLine commandLine() {
         CommandLine line = new CommandLine(new Lab());
+        line.setCaseInsensitiveEnumValuesAllowed(true);
         line.setExecutionExceptionHandler((failure, command, parsed) -> {
             if (failure instanceof Faults faults) {
                 faults.lines().forEach(command.getErr()::println);
--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/fleet/DutyTrial.java
@@ -0,0 +1,319 @@
+package mapleroute.lab.fleet;
+
+import io.microraft.executor.RaftNodeExecutor;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import mapleroute.fleet.duty.Command;
+import mapleroute.fleet.duty.DutyClient;
+import mapleroute.fleet.duty.Fence;
+import mapleroute.fleet.duty.Terms;
+import mapleroute.fleet.keeper.Id;
+import mapleroute.fleet.keeper.RaftKeeper;
+import mapleroute.fleet.member.Message;
+import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.member.Tuning;
+import mapleroute.fleet.wire.DutyCodec;
+import mapleroute.fleet.wire.Riders;
+import mapleroute.lab.virtual.VirtualTime;
+
+/**
+ * Five keepers and some others that want one duty, with what befalls them, on the virtual clock: the
+ * product's log, steward and clients, on the product's membership. Holders act on something that fences; an
+ * effect may be under way for long.
+ */
+public final class DutyTrial {
+
+    private static final int KEEPERS = 5;
+    private static final String DUTY = "duty";
+    private static final double ADVANCE_MS = 50;
+    private static final double EFFECT_MS = 100;
+    private static final double LOOK_MS = 500;
+    /** Who believes what is looked at this often, and just before and after each process acts. */
+    private static final double WATCH_MS = 20;
+    /** After the last fault somebody has the duty within this, where a majority of keepers is there. */
+    private static final double SETTLE_MS = 30_000;
+
+    /** Faults in the program, to see that they are found. */
+    public enum Seeded {
+        /** None. */
+        NONE,
+        /** What effects are for does not look at tokens. */
+        NO_FENCE,
+        /** Holders believe in their leases for longer than the leader does. */
+        NO_MARGIN,
+        /** A keeper that starts again has lost its disk, and votes as the same one. */
+        FORGETFUL
+    }
+
+    /**
+     * How it went.
+     *
+     * @param broken promises, in plain lines
+     * @param gaps between two holders, in milliseconds
+     */
+    public record Outcome(List<String> broken, List<Double> gaps, int effects, int refused, int grants) {
+    }
+
+    private final FleetPlan plan;
+    private final Seeded seeded;
+    private final VirtualTime time = new VirtualTime();
+    private final VirtualFleet fleet;
+    private final SplittableRandom random;
+    private final DutyHistory history = new DutyHistory();
+    private final Fence fence = new Fence();
+    private final Map<Integer, MemoryStore> disks = new HashMap<>();
+    private final Map<Integer, Process> processes = new TreeMap<>();
+    private final double startMs = time.now();
+
+    private DutyTrial(FleetPlan plan, Seeded seeded) {
+        this.plan = plan;
+        this.seeded = seeded;
+        random = new SplittableRandom(plan.seed() * 17 + 3);
+        fleet = new VirtualFleet(plan, Tuning.DEFAULT, true, Interposer.NONE, (now, at, before, is) -> { },
+            this::process, time);
+    }
+
+    /** A plan for keepers and others, drawn by a seed. */
+    public static FleetPlan drawn(long seed) {
+        return FleetPlan.drawn(seed, KEEPERS + 6);
+    }
+
+    /** Plays a plan, whose first five members are keepers. */
+    public static Outcome play(FleetPlan plan, Seeded seeded) {
+        DutyTrial trial = new DutyTrial(plan, seeded);
+        return trial.play();
+    }
+
+    private static List<String> keepers() {
+        return IntStream.range(0, KEEPERS).mapToObj(i -> "m" + i).toList();
+    }
+
+    private Rider process(VirtualFleet.Node node) {
+        Process before = processes.get(node.number);
+        if (before != null) {
+            before.ended = true;
+        }
+        Process process = node.number < KEEPERS ? new Keeper(node) : new Holder(node);
+        processes.put(node.number, process);
+        // It begins once its membership is there.
+        time.after(0, () -> process.guarded(process::begin));
+        return process.riders;
+    }
+
+    /** A process of the trial, whose tasks run only while it does. */
+    private abstract class Process {
+        final VirtualFleet.Node node;
+        final Riders riders = new Riders();
+        final Deque<Runnable> waiting = new ArrayDeque<>();
+        boolean ended;
+
+        Process(VirtualFleet.Node node) {
+            this.node = node;
+        }
+
+        abstract void begin();
+
+        /** Runs now, or when a process that stands still goes on, or never. */
+        void guarded(Runnable task) {
+            if (ended || !node.runs()) {
+                return;
+            }
+            if (node.paused || !waiting.isEmpty()) {
+                waiting.add(task);
+                if (waiting.size() == 1) {
+                    time.after(ADVANCE_MS / 5, this::resume);
+                }
+                return;
+            }
+            task.run();
+            if (node.runs()) {
+                node.plan();
+            }
+        }
+
+        private void resume() {
+            if (node.paused && node.runs() && !ended) {
+                time.after(ADVANCE_MS / 5, this::resume);
+                return;
+            }
+            List<Runnable> all = new ArrayList<>(waiting);
+            waiting.clear();
+            all.forEach(this::guarded);
+        }
+
+        void every(double ms, Runnable task) {
+            time.after(ms, () -> {
+                if (!ended && node.runs()) {
+                    guarded(task);
+                    every(ms, task);
+                }
+            });
+        }
+
+        long ask(String member, String letter, ByteBuffer bytes) {
+            return node.membership.ask(node.clock(), member, Riders.wrapped(letter, bytes));
+        }
+    }
+
+    private final class Keeper extends Process implements RaftNodeExecutor, RaftKeeper.Links {
+        RaftKeeper raft;
+
+        Keeper(VirtualFleet.Node node) {
+            super(node);
+        }
+
+        @Override
+        void begin() {
+            if (seeded == Seeded.FORGETFUL) {
+                disks.remove(node.number);
+            }
+            MemoryStore disk = disks.computeIfAbsent(node.number, number -> new MemoryStore());
+            disk.crash();
+            raft = new RaftKeeper(0, new Id(node.name), keepers().stream().map(Id::new).toList(),
+                Terms.DEFAULT, new RaftKeeper.Parts(this, new Random(random.nextLong()), node::clock, this,
+                () -> new RaftKeeper.Kept(disk, disk.restored())));
+            riders.with(DutyCodec.LETTER, raft.desk()).with(RaftKeeper.LETTER, raft.post());
+            every(ADVANCE_MS, raft::advance);
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            time.after(0, () -> guarded(task));
+        }
+
+        @Override
+        public void submit(Runnable task) {
+            time.after(0, () -> guarded(task));
+        }
+
+        @Override
+        public void schedule(Runnable task, long delay, TimeUnit unit) {
+            time.after(unit.toMillis(delay) / node.rate, () -> guarded(task));
+        }
+
+        @Override
+        public void send(String keeper, ByteBuffer message) {
+            ask(keeper, RaftKeeper.LETTER, message);
+        }
+
+        @Override
+        public void reply(String member, long sequence, ByteBuffer answer) {
+            node.membership.tell(node.clock(), member, sequence,
+                Riders.wrapped(DutyCodec.LETTER, answer));
+        }
+
+        @Override
+        public boolean isPresent(String member) {
+            return node.membership.held(member) != null
+                && node.membership.held(member).state().isPresent();
+        }
+    }
+
+    /** One that wants the duty, and acts while it has it. */
+    private final class Holder extends Process implements DutyClient.Port, Rider {
+        DutyClient client;
+        final Map<Long, Double> asked = new HashMap<>();
+
+        Holder(VirtualFleet.Node node) {
+            super(node);
+        }
+
+        @Override
+        void begin() {
+            Terms terms = seeded != Seeded.NO_MARGIN ? Terms.DEFAULT : new Terms(Terms.DEFAULT.leaseMs() * 2,
+                0, 0, Terms.DEFAULT.renewMs(), Terms.DEFAULT.parkMs(), Terms.DEFAULT.answerMs(),
+                Terms.DEFAULT.staggerMs());
+            client = new DutyClient(terms, node.name, random.nextLong() >>> 1, keepers(), random.split(),
+                this);
+            riders.with(DutyCodec.LETTER, this);
+            client.want(node.clock(), DUTY, node.number % 3);
+            every(ADVANCE_MS, () -> client.advance(node.clock()));
+            every(EFFECT_MS, this::act);
+            every(LOOK_MS, () -> {
+                String keeper = keepers().get(random.nextInt(KEEPERS));
+                long sequence = ask(keeper, DutyCodec.LETTER, DutyCodec.question(new DutyClient.Question(
+                    keeper, new Command(Command.Kind.LOOK, DUTY, node.name, 0, 0, 0), 0)));
+                asked.put(sequence, time.now());
+            });
+        }
+
+        private void act() {
+            long token = client.token(node.clock(), DUTY);
+            if (token == 0) {
+                return;
+            }
+            // Mostly soon; now and then it lies somewhere for seconds, also while the process stands still.
+            double way = random.nextInt(20) == 0 ? random.nextDouble() * 8000 : random.nextDouble() * 20;
+            time.after(way, () -> history.effect(time.now() - startMs, token,
+                fence.admits(DUTY, token) || seeded == Seeded.NO_FENCE));
+        }
+
+        @Override
+        public long ask(DutyClient.Question question) {
+            long sequence = ask(question.keeper(), DutyCodec.LETTER, DutyCodec.question(question));
+            asked.put(sequence, time.now());
+            return sequence;
+        }
+
+        @Override
+        public ByteBuffer next(double now, int bytes, int members) {
+            return Message.NOTHING;
+        }
+
+        @Override
+        public void hear(double now, ByteBuffer told, double transitMs) {
+            throw new IllegalStateException("no duty rides on answers");
+        }
+
+        @Override
+        public void told(double now, String from, long sequence, ByteBuffer bytes) {
+            try {
+                DutyClient.Answer answer = DutyCodec.answer(bytes);
+                Double at = asked.remove(sequence);
+                if (answer.done() && at != null) {
+                    history.answered(at, time.now(), answer.duty().token(), answer.duty().renewal());
+                }
+                client.told(now, sequence, answer);
+            } catch (java.io.IOException e) {
+                throw new IllegalStateException("what is written can be read", e);
+            }
+        }
+    }
+
+    private void watch() {
+        Map<String, Long> believing = new TreeMap<>();
+        for (Process process : processes.values()) {
+            if (process instanceof Holder holder && holder.client != null && !holder.ended
+                    && holder.node.runs() && !holder.node.paused) {
+                long token = holder.client.token(holder.node.clock(), DUTY);
+                if (token > 0) {
+                    believing.put(holder.node.name, token);
+                }
+            }
+        }
+        history.believers(time.now() - startMs, believing);
+        time.after(WATCH_MS, this::watch);
+    }
+
+    private Outcome play() {
+        time.after(0, this::watch);
+        fleet.play(plan.lastFaultMs() + SETTLE_MS);
+        List<String> broken = new ArrayList<>(history.broken());
+        long keepers = fleet.nodes().stream().filter(node -> node.number < KEEPERS && node.runs()).count();
+        boolean wanted = fleet.nodes().stream().anyMatch(node -> node.number >= KEEPERS && node.runs());
+        if (keepers * 2 > KEEPERS && wanted && !history.isHeld()) {
+            broken.add("somebody has it: nobody does " + SETTLE_MS / 1000 + " s after the last fault");
+        }
+        return new Outcome(broken, history.gaps(), history.effects(), history.refused(), history.grants());
+    }
+}
--- a/lab/src/main/java/mapleroute/lab/fleet/FleetPlan.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/FleetPlan.java
@@ -27,7 +27,15 @@
     /** A plan drawn by a seed: a small fleet and up to six faults that may overlap. */
     public static FleetPlan drawn(long seed) {
         Random random = new Random(seed);
-        int members = 5 + random.nextInt(12);
+        return drawn(seed, 5 + random.nextInt(12), random);
+    }
+
+    /** The same for a fleet of a given size. */
+    public static FleetPlan drawn(long seed, int members) {
+        return drawn(seed, members, new Random(seed));
+    }
+
+    private static FleetPlan drawn(long seed, int members, Random random) {
         List<Fault> faults = new ArrayList<>();
         int count = 1 + random.nextInt(MOST_FAULTS);
         for (int i = 0; i < count; i++) {
--- a/lab/src/test/java/mapleroute/lab/ArchitectureTest.java
+++ b/lab/src/test/java/mapleroute/lab/ArchitectureTest.java
@@ -68,7 +68,7 @@
     @Test
     void inASidecarTheFleetsPartsAloneKnowOfTheFleet() {
         noClasses().that().resideInAPackage("mapleroute.sidecar..").and()
-            .haveNameNotMatching("mapleroute\\.sidecar\\.Fleet(Part|Sharing).*")
+            .haveNameNotMatching("mapleroute\\.sidecar\\.Fleet(Part|Sharing|Duties).*")
             .should().dependOnClassesThat().resideInAPackage("mapleroute.fleet..").check(ALL);
     }
 
--- /dev/null
+++ b/sidecar/src/main/java/mapleroute/sidecar/FleetDuties.java
@@ -0,0 +1,126 @@
+package mapleroute.sidecar;
+
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import mapleroute.fleet.duty.DutyClient;
+import mapleroute.fleet.duty.Terms;
+import mapleroute.fleet.host.FleetConfig;
+import mapleroute.fleet.host.FleetHost;
+import mapleroute.fleet.host.StatusJson;
+import mapleroute.fleet.member.Message;
+import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.wire.DutyCodec;
+import mapleroute.fleet.wire.Riders;
+
+/**
+ * The duties that this sidecar wants: it asks the keepers for them while it serves, and gives them back when
+ * it does not. Only a configuration that names duties has this class loaded.
+ */
+final class FleetDuties implements DutyClient.Port, Rider {
+
+    private static final int ADVANCE_MS = 50;
+
+    private final String name;
+    private final FleetConfig config;
+    private final Complaints complaints;
+    private final DutyClient client;
+    private FleetHost host;
+    private boolean serves;
+    private boolean leaving;
+    private long unreadable;
+
+    FleetDuties(String name, FleetConfig config, long seed, Complaints complaints) {
+        this.name = name;
+        this.config = config;
+        this.complaints = complaints;
+        SplittableRandom random = new SplittableRandom(seed);
+        client = new DutyClient(Terms.DEFAULT, name, random.nextLong() >>> 1, config.keepers(), random, this);
+    }
+
+    /** Begins, on the loop. */
+    void start(EventLoop loop, FleetHost carrier) {
+        host = carrier;
+        loop.scheduleWithFixedDelay(() -> client.advance(host.now()), 0, ADVANCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Only who serves has duties. */
+    void serves(boolean now) {
+        if (now == serves || leaving) {
+            return;
+        }
+        serves = now;
+        config.duties().forEach((duty, preference) -> {
+            if (serves) {
+                client.want(host.now(), duty, preference);
+            } else {
+                client.unwant(host.now(), duty);
+            }
+        });
+    }
+
+    /** SIGTERM has come: duties go back at once. */
+    void leave() {
+        serves(false);
+        leaving = true;
+    }
+
+    /** What it has and what it knows, as one line of JSON. */
+    String status() {
+        Map<String, Object> status = new LinkedHashMap<>();
+        status.put("name", name);
+        status.put("leader", client.leader());
+        status.put("unreadable", unreadable);
+        Map<String, Object> duties = new LinkedHashMap<>();
+        for (String duty : client.duties()) {
+            long token = client.token(host.now(), duty);
+            Map<String, Object> one = new LinkedHashMap<>();
+            one.put("holder", client.seen(duty).holder());
+            one.put("token", Math.max(token, client.seen(duty).token()));
+            one.put("mine", token > 0);
+            one.put("left_ms", (long) client.leftMs(host.now(), duty));
+            duties.put(duty, one);
+        }
+        status.put("duties", duties);
+        return StatusJson.of(status);
+    }
+
+    @Override
+    public long ask(DutyClient.Question question) {
+        return host.ask(question.keeper(), Riders.wrapped(DutyCodec.LETTER, DutyCodec.question(question)));
+    }
+
+    @Override
+    public void taken(String duty, long token) {
+        complaints.say("fleet: this process has the duty " + duty + ", token " + token);
+    }
+
+    @Override
+    public void ended(String duty, long token, String why) {
+        complaints.say("fleet: this process no longer has the duty " + duty + ", token " + token + ": "
+            + why);
+    }
+
+    @Override
+    public ByteBuffer next(double now, int bytes, int members) {
+        return Message.NOTHING;
+    }
+
+    @Override
+    public void hear(double now, ByteBuffer told, double transitMs) {
+        unreadable++;
+    }
+
+    @Override
+    public void told(double now, String from, long sequence, ByteBuffer answer) {
+        try {
+            client.told(now, sequence, DutyCodec.answer(answer));
+        } catch (IOException e) {
+            unreadable++;
+        }
+    }
+}
--- a/sidecar/src/main/java/mapleroute/sidecar/FleetPart.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/FleetPart.java
@@ -7,7 +7,8 @@
 import mapleroute.fleet.host.FleetConfig;
 import mapleroute.fleet.host.FleetHost;
 import mapleroute.fleet.member.Profile;
-import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.wire.DutyCodec;
+import mapleroute.fleet.wire.Riders;
 
 /** A sidecar's part in its fleet. Only a configuration with a fleet has this class loaded. */
 final class FleetPart {
@@ -20,6 +21,9 @@
     private final FleetConfig fleet;
     /** Null where the configuration does not say that it shares. */
     private final FleetSharing sharing;
+    /** Null where the configuration names no duties. */
+    private final FleetDuties duties;
+    private final Riders riders = new Riders();
     /** Null until it takes part. */
     private volatile FleetHost host;
 
@@ -29,13 +33,18 @@
      *
      * @throws IllegalArgumentException naming the field that is missing or bad
      */
-    FleetPart(SidecarConfig config, Exchange exchange) {
+    FleetPart(SidecarConfig config, Exchange exchange, Complaints complaints) {
         this.config = config;
         fleet = FleetConfig.of(config.fleet());
         if (!Profile.isWord(config.name())) {
             throw ServerList.bad("name", config.name());
         }
-        sharing = fleet.shares() ? new FleetSharing(config, exchange) : null;
+        sharing = fleet.shares() ? new FleetSharing(config, exchange, riders) : null;
+        duties = fleet.duties().isEmpty() ? null
+            : new FleetDuties(config.name(), fleet, config.seed() - System.nanoTime(), complaints);
+        if (duties != null) {
+            riders.with(DutyCodec.LETTER, duties);
+        }
     }
 
     /**
@@ -51,12 +60,23 @@
         // The seed is new with each start, but a second process of an upgrade may be told the same one.
         host = FleetHost.start(loop, Sidecar.BUFFERS, fleet, config.name(),
             new Profile(fleet.zone(), fleet.tier(), version, Profile.Phase.STARTING, door),
-            config.seed() ^ System.nanoTime(), sharing == null ? Rider.NONE : sharing.rider(),
-            complaints::say);
-        loop.scheduleWithFixedDelay(() -> host.phase(Profile.Phase.valueOf(phase.get())), 0, PHASE_MS,
-            TimeUnit.MILLISECONDS);
-        if (sharing != null) {
-            loop.execute(() -> sharing.start(loop, host));
+            config.seed() ^ System.nanoTime(), riders, complaints::say);
+        loop.execute(() -> {
+            if (sharing != null) {
+                sharing.start(loop, host);
+            }
+            if (duties != null) {
+                duties.start(loop, host);
+            }
+            loop.scheduleWithFixedDelay(() -> look(Profile.Phase.valueOf(phase.get())), 0, PHASE_MS,
+                TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void look(Profile.Phase phase) {
+        host.phase(phase);
+        if (duties != null) {
+            duties.serves(phase == Profile.Phase.READY);
         }
     }
 
@@ -70,8 +90,16 @@
         return sharing == null || host == null ? null : sharing.status();
     }
 
+    /** Which duties it has, as one line of JSON; null where it wants none. */
+    String duties() {
+        return duties == null || host == null ? null : duties.status();
+    }
+
     /** SIGTERM has come. */
     void leave() {
+        if (duties != null && host != null) {
+            duties.leave();
+        }
         if (host != null) {
             host.leave();
         }
--- a/sidecar/src/main/java/mapleroute/sidecar/FleetSharing.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/FleetSharing.java
@@ -16,7 +16,6 @@
 import mapleroute.Contract.Tenant;
 import mapleroute.fleet.host.FleetHost;
 import mapleroute.fleet.host.StatusJson;
-import mapleroute.fleet.member.Rider;
 import mapleroute.fleet.share.Eyes;
 import mapleroute.fleet.share.Sharing;
 import mapleroute.fleet.wire.LoanDesk;
@@ -41,22 +40,19 @@
     private FleetHost host;
     private Settings seen;
 
-    FleetSharing(SidecarConfig config, Exchange exchange) {
+    FleetSharing(SidecarConfig config, Exchange exchange, Riders riders) {
+        this.riders = riders;
         this.exchange = exchange;
         // Another with each start, though the configuration may be the same.
         SplittableRandom random = new SplittableRandom(config.seed() + System.nanoTime());
         sharing = new Sharing(0, config.name(), random.nextLong() >>> 1, random);
         sightings = new SightingRider(sharing.sightings());
         loans = new LoanDesk(sharing.shares());
-        riders = new Riders().with(LOANS, loans).with(SIGHTINGS, sightings);
+        riders.with(LOANS, loans).with(SIGHTINGS, sightings);
         listed(true, config.known().servers());
         exchange.tell(this);
     }
 
-    Rider rider() {
-        return riders;
-    }
-
     /** Begins, on the loop; from then on it is called there alone. */
     void start(EventLoop loop, FleetHost carrier) {
         host = carrier;
--- a/sidecar/src/main/java/mapleroute/sidecar/ManagementServer.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/ManagementServer.java
@@ -52,6 +52,9 @@
         /** Who is present, as one line of JSON; null where there is no fleet. */
         String members();
 
+        /** Which duties this process has, as one line of JSON; null where it wants none. */
+        String duties();
+
         /** What is shared with other processes, as one line of JSON; null where nothing is. */
         String shared();
     }
@@ -95,6 +98,7 @@
         String[] words = line.trim().split("\\s+");
         String told = words.length > 1 ? null : switch (words[0]) {
             case "members" -> told(operated.members(), "is in no fleet");
+            case "duties" -> told(operated.duties(), "wants no duties");
             case "shared" -> told(operated.shared(), "shares nothing");
             default -> null;
         };
--- a/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -150,7 +150,7 @@
         discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints,
             config.seed());
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
-        fleet = config.fleet() == null ? null : new FleetPart(config, exchange);
+        fleet = config.fleet() == null ? null : new FleetPart(config, exchange, complaints);
         discovery.listen(new DiscoveryClient.Listener() {
             @Override
             public void listed(ServerList list) {
@@ -330,6 +330,11 @@
             return fleet == null ? null : fleet.members();
         }
 
+        @Override
+        public String duties() {
+            return fleet == null ? null : fleet.duties();
+        }
+
         @Override
         public String shared() {
             return fleet == null ? null : fleet.shared();
