Take versions of servers out in stages, judged by a sequential test, with a halt and a way back

Need: a bad version of servers must hurt a small part of the traffic for a short time, with nobody awake.

Change: a plan (YAML, all faults told at once) is conducted by whoever holds the duty release:NAME (`fleet release start`, on several machines). The stage, with the conductor's token, rides on membership's answers to all sidecars that share; each gives the new version its part by the hash of a call's id, retries go to the old one, and reports tallies when asked. The Judge bets against "no worse than tolerated" in blocks of calls at the same time in the same zone (e-variables for two Bernoulli streams, added up to an e-detector), so it may look at every block and harm may begin late. Judged bad, the version gets nothing and does not go on under that name. The next conductor goes on from the stage that the fleet holds. A silent conductor leaves its stage for 30 s, then the new version gets nothing. `fleet release status, halt, resume, back`.

Roads not taken: a fixed number of errors or a timer as the gate (the tables have the timer); a conductor with a log of its own (the fleet's stage is one already, and outlasts it); a part by processes (with few calls each it is no part of the calls).

Real processes: a bad version goes back and gets nothing more; a good one is done though its conductor is killed. A gate that always passes is found.

--- a/fleet/src/main/java/mapleroute/fleet/cli/FleetCommand.java
+++ b/fleet/src/main/java/mapleroute/fleet/cli/FleetCommand.java
@@ -6,7 +6,8 @@
 
 /** The command line for operators of a fleet. */
 @Command(name = "fleet", mixinStandardHelpOptions = true, versionProvider = FleetCommand.Version.class,
-    subcommands = {MembersCommand.class, WatchCommand.class, DutiesCommand.class, KeepCommand.class},
+    subcommands = {MembersCommand.class, WatchCommand.class, DutiesCommand.class,
+        KeepCommand.class, ReleaseCommand.class},
     description = "Shows what a process of a fleet sees, by way of its operators' door, and runs keepers.",
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:all went well", "1:the process gave no answer, or an error",
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/conduct/ConductorHost.java
@@ -0,0 +1,248 @@
+package mapleroute.fleet.conduct;
+
+import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import mapleroute.fleet.duty.DutyClient;
+import mapleroute.fleet.duty.Terms;
+import mapleroute.fleet.host.FleetConfig;
+import mapleroute.fleet.host.FleetHost;
+import mapleroute.fleet.host.LineDoor;
+import mapleroute.fleet.host.StatusJson;
+import mapleroute.fleet.member.Message;
+import mapleroute.fleet.member.Profile;
+import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.member.State;
+import mapleroute.fleet.member.View;
+import mapleroute.fleet.release.Conductor;
+import mapleroute.fleet.release.Plan;
+import mapleroute.fleet.release.Stager;
+import mapleroute.fleet.wire.Addresses;
+import mapleroute.fleet.wire.DutyCodec;
+import mapleroute.fleet.wire.Riders;
+import mapleroute.fleet.wire.StageRider;
+
+/**
+ * A process that conducts a release while it has the duty to, and else waits for it: a member of the fleet
+ * that serves nobody. Several may be started for one release; the keepers let one of them act.
+ */
+public final class ConductorHost implements DutyClient.Port {
+
+    /** The duty's name, before the release's. */
+    static final String DUTY = "release:";
+    private static final int ADVANCE_MS = 100;
+    private static final double POLL_MS = 1000;
+    /** Whoever gets the duty waits so long for what the fleet holds of the release, before it begins. */
+    private static final double LISTEN_MS = 5000;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+        new DefaultThreadFactory("conductor"), NioIoHandler.newFactory());
+    private final EventLoop loop = (EventLoop) group.next();
+    private final Plan plan;
+    private final Consumer<String> log;
+    private final Stager stager = new Stager();
+    private final Map<Long, String> polled = new HashMap<>();
+    private final String duty;
+    private final DutyClient client;
+    private FleetHost host;
+    private LineDoor door;
+    private Conductor conductor;
+    private long token;
+    private double takenMs;
+    private double pollMs;
+    private long unreadable;
+
+    private ConductorHost(Plan plan, FleetConfig fleet, String name, long seed, Consumer<String> log) {
+        this.plan = plan;
+        this.log = log;
+        duty = DUTY + plan.name();
+        SplittableRandom random = new SplittableRandom(seed);
+        client = new DutyClient(Terms.DEFAULT, name, random.nextLong() >>> 1, fleet.keepers(), random, this);
+    }
+
+    /**
+     * Starts one.
+     *
+     * @param fleet with the keepers, who say which conductor acts
+     * @param name of this process in the fleet
+     * @param address where operators connect
+     * @param log takes a line for each decision
+     * @throws IOException if an address is taken
+     * @throws IllegalArgumentException if the fleet has no keepers
+     */
+    public static ConductorHost start(Plan plan, FleetConfig fleet, String name, InetSocketAddress address,
+            Consumer<String> log) throws IOException {
+        if (fleet.keepers().isEmpty()) {
+            throw new IllegalArgumentException("field fleet.keepers is missing: they say who conducts");
+        }
+        ConductorHost host = new ConductorHost(plan, fleet, name, System.nanoTime(), log);
+        try {
+            host.begin(fleet, name, address);
+        } catch (IOException | RuntimeException e) {
+            host.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            throw e;
+        }
+        return host;
+    }
+
+    private void begin(FleetConfig fleet, String name, InetSocketAddress address) throws IOException {
+        door = new LineDoor(loop, address, this::answer);
+        Riders riders = new Riders().with(StageRider.LETTER, new Reports()).with(DutyCodec.LETTER,
+            new Answers());
+        host = FleetHost.start(loop, PooledByteBufAllocator.DEFAULT, fleet, name, new Profile(fleet.zone(),
+            "conductor", fleet.version(), Profile.Phase.READY, Addresses.text(door.address())),
+            System.nanoTime(), riders, log);
+        loop.submit(() -> {
+            client.want(host.now(), duty, 0);
+            loop.scheduleWithFixedDelay(this::advance, 0, ADVANCE_MS, TimeUnit.MILLISECONDS);
+        }).syncUninterruptibly();
+    }
+
+    /** Stages that ride on answers, and the reports that are asked for. */
+    private final class Reports extends StageRider {
+        Reports() {
+            super(stager, 0);
+        }
+
+        @Override
+        public void told(double now, String from, long sequence, ByteBuffer answer) {
+            if (conductor == null || !from.equals(polled.remove(sequence))) {
+                return;
+            }
+            try {
+                StageRider.Report report = StageRider.report(answer);
+                conductor.report(now, from, zoneOf(from), report.run(), report.tally());
+            } catch (IOException e) {
+                unreadable++;
+            }
+        }
+    }
+
+    private final class Answers implements Rider {
+        @Override
+        public ByteBuffer next(double now, int bytes, int members) {
+            return Message.NOTHING;
+        }
+
+        @Override
+        public void hear(double now, ByteBuffer told, double transitMs) {
+            unreadable++;
+        }
+
+        @Override
+        public void told(double now, String from, long sequence, ByteBuffer answer) {
+            try {
+                client.told(now, sequence, DutyCodec.answer(answer));
+            } catch (IOException e) {
+                unreadable++;
+            }
+        }
+    }
+
+    private String zoneOf(String member) {
+        return host.view().members().stream().filter(each -> each.held().name().equals(member))
+            .map(each -> each.held().profile() == null ? "" : each.held().profile().zone()).findFirst()
+            .orElse("");
+    }
+
+    /** Processes that serve clients or tiers; keepers and conductors call no servers. */
+    private static boolean serves(View.Member member) {
+        Profile profile = member.held().profile();
+        return member.held().state() == State.ALIVE && profile != null
+            && profile.phase() == Profile.Phase.READY && !profile.tier().equals("keeper")
+            && !profile.tier().equals("conductor");
+    }
+
+    private void advance() {
+        double now = host.now();
+        client.advance(now);
+        if (client.token(now, duty) == 0 || token == 0) {
+            // Not this one, or not any more: nothing is told, and what is under way is refused by its token.
+            conductor = null;
+            return;
+        }
+        if (conductor == null) {
+            boolean heard = stager.stage(now) != null || now >= takenMs + LISTEN_MS;
+            if (!heard) {
+                return;
+            }
+            conductor = new Conductor(now, plan, token, stager.stage(now),
+                stage -> stager.hear(host.now(), stage, 0), log);
+        }
+        View view = host.view();
+        if (now >= pollMs) {
+            pollMs = now + POLL_MS;
+            polled.clear();
+            view.members().stream().filter(ConductorHost::serves).forEach(member ->
+                polled.put(host.ask(member.held().name(), Riders.wrapped(StageRider.LETTER,
+                    StageRider.question())), member.held().name()));
+        }
+        conductor.advance(now, (int) view.members().stream().filter(ConductorHost::serves).count());
+    }
+
+    private CompletionStage<String> answer(String line) {
+        double now = host == null ? 0 : host.now();
+        String refused = switch (line) {
+            case "release-halt" -> conductor == null ? waits() : conductor.halt(now);
+            case "release-resume" -> conductor == null ? waits() : conductor.resume(now);
+            case "release-back" -> conductor == null ? waits() : conductor.back(now);
+            case "release", "members", "status" -> null;
+            default -> "unknown call";
+        };
+        String more = switch (line) {
+            case "release" -> conductor == null ? StatusJson.of(Map.of("release", plan.name(), "waits", true,
+                "holder", client.seen(duty).holder())) : StatusJson.of(conductor.status(now,
+                (int) host.view().members().stream().filter(ConductorHost::serves).count()));
+            case "members" -> host.members();
+            default -> "";
+        };
+        return CompletableFuture.completedFuture(refused != null ? "error " + refused
+            : more.isEmpty() ? "done" : "done " + more);
+    }
+
+    private String waits() {
+        String holder = client.seen(duty).holder();
+        return "this process waits" + (holder.isEmpty() ? "" : ": " + holder + " conducts");
+    }
+
+    @Override
+    public long ask(DutyClient.Question question) {
+        return host.ask(question.keeper(), Riders.wrapped(DutyCodec.LETTER, DutyCodec.question(question)));
+    }
+
+    @Override
+    public void taken(String taken, long under) {
+        token = under;
+        takenMs = host.now();
+        log.accept("release " + plan.name() + ": this process conducts, token " + under);
+    }
+
+    @Override
+    public void ended(String ended, long under, String why) {
+        token = 0;
+        log.accept("release " + plan.name() + ": this process no longer conducts: " + why);
+    }
+
+    /** Ends: the duty goes back, so that another may conduct at once. */
+    public void stop() {
+        loop.submit(() -> {
+            client.unwant(host.now(), duty);
+            host.leave();
+            host.close();
+        }).awaitUninterruptibly();
+        door.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/mapleroute/fleet/wire/StageRider.java
@@ -0,0 +1,149 @@
+package mapleroute.fleet.wire;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import mapleroute.fleet.member.Message;
+import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.release.Stage;
+import mapleroute.fleet.release.Stager;
+import mapleroute.fleet.release.Tally;
+
+/** Has the stage of a release ride on membership's answers, and answers how calls ended here. */
+public class StageRider implements Rider {
+
+    /** The letter under which it travels; see {@link Riders}. */
+    public static final String LETTER = "r";
+
+    /** Each process tells a step on so many times the decimal logarithm of the fleet's size. */
+    private static final double SPREAD = 3;
+    private static final double PARTS = 1_000_000;
+    private static final Stage.Phase[] PHASES = Stage.Phase.values();
+
+    /** How calls ended at one process, as it answers. */
+    public record Report(long run, Tally tally) {
+    }
+
+    private static final class Plain extends Values.Writer<Plain> {
+        Plain() throws IOException {
+            // Nothing of its own.
+        }
+    }
+
+    private final Stager stager;
+    private final long run;
+    private Stage told;
+    private int times;
+    private long unreadable;
+
+    /** Carries what a stager holds, for this process of its name. */
+    public StageRider(Stager stager, long run) {
+        this.stager = stager;
+        this.run = run;
+    }
+
+    /** The question for a report. */
+    public static ByteBuffer question() {
+        return ByteBuffer.wrap(new byte[] {0});
+    }
+
+    @Override
+    public final ByteBuffer next(double now, int bytes, int members) {
+        Stage stage = stager.stage(now);
+        if (stage == null) {
+            return Message.NOTHING;
+        }
+        if (stage != told) {
+            told = stage;
+            times = 0;
+        }
+        if (times >= Math.ceil(SPREAD * Math.log10(members + 9))) {
+            return Message.NOTHING;
+        }
+        ByteBuffer next = encode(stage, stager.ageMs(now));
+        if (next.remaining() > bytes) {
+            return Message.NOTHING;
+        }
+        times++;
+        return next;
+    }
+
+    @Override
+    public final void hear(double now, ByteBuffer bytes, double transitMs) {
+        try {
+            Values.Reader in = reader(bytes);
+            long age = in.number();
+            Stage stage = decode(in);
+            if (age < 0) {
+                throw new IOException("an age that cannot be one");
+            }
+            stager.hear(now, stage, age + transitMs);
+        } catch (IOException | IllegalArgumentException e) {
+            unreadable++;
+        }
+    }
+
+    @Override
+    public final ByteBuffer asked(double now, String from, long sequence, ByteBuffer question) {
+        try {
+            Tally tally = stager.tally();
+            Plain out = new Plain().number(run);
+            for (Tally.Count count : List.of(tally.calls(), tally.failed(), tally.slow())) {
+                out.number(count.fresh()).number(count.old());
+            }
+            return ByteBuffer.wrap(out.bytes());
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory cannot fail", e);
+        }
+    }
+
+    /**
+     * Reads a report.
+     *
+     * @throws IOException if it is none
+     */
+    public static Report report(ByteBuffer answer) throws IOException {
+        Values.Reader in = reader(answer);
+        return new Report(in.number(), new Tally(new Tally.Count(in.number(), in.number()),
+            new Tally.Count(in.number(), in.number()), new Tally.Count(in.number(), in.number())));
+    }
+
+    /** Stages that could not be read. */
+    public final long unreadable() {
+        return unreadable;
+    }
+
+    private static ByteBuffer encode(Stage stage, double ageMs) {
+        try {
+            // Rounded up, as an age must never be told too young.
+            Plain out = new Plain().number((long) Math.ceil(ageMs)).text(stage.release()).text(stage.kind())
+                .number(stage.ids().size());
+            for (String id : stage.ids()) {
+                out.text(id);
+            }
+            return ByteBuffer.wrap(out.number(stage.phase().ordinal()).number(stage.number())
+                .number(Math.round(stage.part() * PARTS)).number(stage.token()).number(stage.step())
+                .text(stage.why()).bytes());
+        } catch (IOException e) {
+            throw new IllegalStateException("writing to memory cannot fail", e);
+        }
+    }
+
+    private static Stage decode(Values.Reader in) throws IOException {
+        String release = in.text();
+        String kind = in.text();
+        List<String> ids = new ArrayList<>();
+        for (int left = in.small(); left > 0 && ids.size() <= Stage.MOST_IDS; left--) {
+            ids.add(in.text());
+        }
+        return new Stage(release, kind, ids, in.one(PHASES), in.small(), in.number() / PARTS, in.number(),
+            in.number(), in.text());
+    }
+
+    private static Values.Reader reader(ByteBuffer from) throws IOException {
+        byte[] bytes = new byte[from.remaining()];
+        from.duplicate().get(bytes);
+        return new Values.Reader(bytes);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/fleet/ReleaseTrial.java
@@ -0,0 +1,287 @@
+package mapleroute.lab.fleet;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.member.Tuning;
+import mapleroute.fleet.release.Conductor;
+import mapleroute.fleet.release.Plan;
+import mapleroute.fleet.release.Stage;
+import mapleroute.fleet.release.Stager;
+import mapleroute.fleet.release.Tally;
+import mapleroute.fleet.wire.Riders;
+import mapleroute.fleet.wire.StageRider;
+import org.apache.commons.math3.random.RandomDataGenerator;
+import org.apache.commons.math3.random.Well19937c;
+
+/**
+ * A release of servers in a fleet of processes that call them, on the virtual clock: the product's conductor,
+ * stages, reports and judgement, on the product's membership. Calls and servers are a model: each call goes
+ * to the new version by the stage's part, and fails or is slow by its version's rates.
+ */
+public final class ReleaseTrial {
+
+    private static final double STEP_MS = 100;
+    private static final double FROM_MS = 15_000;
+    private static final double POLL_MS = 1000;
+    /** A conductor's duty is passed on within a lease and two seconds. */
+    private static final double PASSED_ON_MS = 7000;
+    private static final String FRESH = "new";
+
+    /** Ways to release. */
+    public enum Way {
+        /** By the conductor. */
+        STAGED,
+        /** The same stages by the clock alone. */
+        TIMER,
+        /** All calls to the new version from the first moment on. */
+        AT_ONCE
+    }
+
+    /**
+     * How a version behaves.
+     *
+     * @param fails part of its calls that fail
+     * @param slow part of its calls that are slow
+     * @param fromMs it begins to do so this long after the release has begun; before it is as the old one
+     * @param abovePart it does so only while more than this part of the calls goes to it
+     */
+    public record Behaviour(double fails, double slow, double fromMs, double abovePart) {
+    }
+
+    /**
+     * What a trial is like.
+     *
+     * @param processes how many call, beside two that may conduct
+     * @param callsPerSecond by each
+     * @param lengthMs how long is counted
+     * @param conductorEnds when the first conductor dies, after the begin; 0 for never
+     * @param gateOpen a fault in the program: no mishap is ever counted
+     */
+    public record Setting(int processes, double callsPerSecond, Behaviour old, Behaviour fresh, Way way,
+            Plan plan, double lengthMs, double conductorEnds, boolean gateOpen, long seed,
+            List<Fault> faults) {
+    }
+
+    /**
+     * How it went.
+     *
+     * @param calls all, over the length
+     * @param hurt calls to the new version that failed or were slow, beyond what the old one would have had
+     * @param judgedMs from the begin until the new version was judged bad, or below 0
+     * @param last the stage that was told last
+     * @param worstPart the most by which the part of calls to the new version in any ten seconds without a
+     *     change was above the planned one, as a part of all calls
+     * @param twoConductors looks at which two conductors told stages that were taken up by turns
+     */
+    public record Outcome(long calls, long hurt, double judgedMs, Stage last, double worstPart,
+            int twoConductors) {
+    }
+
+    private final class Process implements Rider {
+        final VirtualFleet.Node node;
+        final Stager stager = new Stager();
+        final Riders riders = new Riders();
+        Conductor conductor;
+        final Map<Long, String> polled = new HashMap<>();
+        double pollMs;
+
+        Process(VirtualFleet.Node node) {
+            this.node = node;
+            stager.listed(true, Map.of("s-" + FRESH, FRESH, "s-old", "old"));
+            riders.with(StageRider.LETTER, new StageRider(stager, random.nextLong() >>> 1) {
+                @Override
+                public void told(double now, String from, long sequence, ByteBuffer answer) {
+                    if (conductor != null && from.equals(polled.remove(sequence))) {
+                        try {
+                            StageRider.Report report = StageRider.report(answer);
+                            Tally tally = setting.gateOpen() ? new Tally(report.tally().calls(),
+                                new Tally.Count(0, 0), new Tally.Count(0, 0)) : report.tally();
+                            conductor.report(now, from, node.membership.held(from).profile().zone(),
+                                report.run(), tally);
+                        } catch (IOException e) {
+                            throw new IllegalStateException("what is written can be read", e);
+                        }
+                    }
+                }
+            });
+        }
+
+        void conduct(long token) {
+            double now = node.clock();
+            conductor = new Conductor(now, setting.plan(), token, stager.stage(now),
+                stage -> stager.hear(node.clock(), stage, 0), line -> { });
+        }
+
+        void advance() {
+            if (conductor == null) {
+                return;
+            }
+            double now = node.clock();
+            if (now >= pollMs) {
+                pollMs = now + POLL_MS;
+                polled.clear();
+                for (Process other : processes.values()) {
+                    if (other.node.number >= CONDUCTORS) {
+                        polled.put(node.membership.ask(now, other.node.name, Riders.wrapped(
+                            StageRider.LETTER, StageRider.question())), other.node.name);
+                    }
+                }
+                node.plan();
+            }
+            conductor.advance(now, setting.processes());
+        }
+
+        @Override
+        public ByteBuffer next(double now, int bytes, int members) {
+            return riders.next(now, bytes, members);
+        }
+
+        @Override
+        public void hear(double now, ByteBuffer told, double transitMs) {
+            riders.hear(now, told, transitMs);
+        }
+
+        @Override
+        public ByteBuffer asked(double now, String from, long sequence, ByteBuffer question) {
+            return riders.asked(now, from, sequence, question);
+        }
+
+        @Override
+        public void told(double now, String from, long sequence, ByteBuffer answer) {
+            riders.told(now, from, sequence, answer);
+        }
+    }
+
+    private static final int CONDUCTORS = 2;
+
+    private final Setting setting;
+    private final SplittableRandom random;
+    private final VirtualFleet fleet;
+    private final Map<Integer, Process> processes = new TreeMap<>();
+
+    private ReleaseTrial(Setting setting) {
+        this.setting = setting;
+        random = new SplittableRandom(setting.seed() * 977 + 1);
+        fleet = new VirtualFleet(new FleetPlan(setting.processes() + CONDUCTORS, setting.seed(), 3000, 2, 0,
+            setting.faults()), Tuning.DEFAULT, true, Interposer.NONE, (now, at, before, is) -> { }, node -> {
+                Process process = new Process(node);
+                processes.put(node.number, process);
+                return process;
+            });
+    }
+
+    /** Plays one. */
+    public static Outcome play(Setting setting) {
+        return new ReleaseTrial(setting).play();
+    }
+
+    private double part(Process process, double at) {
+        return switch (setting.way()) {
+            case STAGED -> {
+                Stage held = process.stager.stage(process.node.clock());
+                // Without a word of any release the new version is not there yet.
+                yield held == null ? 0 : process.stager.part(process.node.clock());
+            }
+            case TIMER -> setting.plan().stages().get((int) Math.min(setting.plan().stages().size() - 1,
+                at / setting.plan().bakeMs()));
+            case AT_ONCE -> 1;
+        };
+    }
+
+    private Outcome play() {
+        fleet.play(FROM_MS);
+        RandomDataGenerator draw = new RandomDataGenerator(new Well19937c(setting.seed()));
+        long calls = 0;
+        double hurt = 0;
+        double judged = -1;
+        double worst = 0;
+        int two = 0;
+        long highest = 0;
+        long windowCalls = 0;
+        long windowFresh = 0;
+        double windowFrom = 0;
+        Stage windowStage = null;
+        if (setting.way() == Way.STAGED) {
+            processes.get(0).conduct(1);
+        }
+        for (double at = 0; at < setting.lengthMs(); at += STEP_MS) {
+            if (setting.conductorEnds() > 0 && at >= setting.conductorEnds()) {
+                processes.get(0).conductor = null;
+            }
+            if (setting.conductorEnds() > 0 && at >= setting.conductorEnds() + PASSED_ON_MS
+                    && processes.get(1).conductor == null) {
+                processes.get(1).conduct(2);
+            }
+            fleet.play(FROM_MS + at + STEP_MS);
+            long stepCalls = 0;
+            long stepFresh = 0;
+            for (Process process : List.copyOf(processes.values())) {
+                if (!process.node.runs() || process.node.paused) {
+                    continue;
+                }
+                process.advance();
+                if (process.node.number < CONDUCTORS) {
+                    continue;
+                }
+                double part = part(process, at);
+                long count = draw.nextPoisson(setting.callsPerSecond() * STEP_MS / 1000);
+                for (long i = 0; i < count; i++) {
+                    boolean isFresh = draw.nextUniform(0, 1) < part;
+                    Behaviour is = isFresh && at >= setting.fresh().fromMs()
+                        && part > setting.fresh().abovePart() ? setting.fresh() : setting.old();
+                    boolean failed = draw.nextUniform(0, 1) < is.fails();
+                    boolean slow = !failed && draw.nextUniform(0, 1) < is.slow();
+                    process.stager.ended(process.node.clock(), isFresh ? "s-" + FRESH : "s-old", failed,
+                        slow);
+                    stepCalls++;
+                    stepFresh += isFresh ? 1 : 0;
+                    hurt += is == setting.fresh() && (failed || slow)
+                        ? 1 - Math.min(1, (setting.old().fails() + setting.old().slow())
+                        / Math.max(1e-9, is.fails() + is.slow())) : 0;
+                }
+            }
+            calls += stepCalls;
+            Stage stage = latest();
+            if (stage != null) {
+                two += stage.token() < highest ? 1 : 0;
+                highest = Math.max(highest, stage.token());
+                boolean bad = stage.why().startsWith("calls fail")
+                    || stage.why().startsWith("answers are slow");
+                judged = judged < 0 && bad ? at : judged;
+            }
+            if (stage != null && windowStage != null && stage.part() == windowStage.part()) {
+                windowCalls += at >= windowFrom ? stepCalls : 0;
+                windowFresh += at >= windowFrom ? stepFresh : 0;
+                if (at - windowFrom >= 10_000) {
+                    worst = Math.max(worst, (double) windowFresh / windowCalls - stage.part());
+                    windowFrom = at;
+                    windowCalls = 0;
+                    windowFresh = 0;
+                }
+            } else {
+                // A change takes some seconds to reach all.
+                windowStage = stage;
+                windowFrom = at + 6000;
+                windowCalls = 0;
+                windowFresh = 0;
+            }
+        }
+        return new Outcome(calls, Math.round(hurt), judged, latest(), worst, two);
+    }
+
+    private Stage latest() {
+        Stage latest = null;
+        for (Process process : new ArrayList<>(processes.values())) {
+            Stage held = process.node.runs() ? process.stager.stage(process.node.clock()) : null;
+            latest = held != null && held.isLaterThan(latest) ? held : latest;
+        }
+        return latest;
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/mapleroute/lab/fleet/Processes.java
@@ -0,0 +1,165 @@
+package mapleroute.lab.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+
+/** Real processes of a fleet: keepers, sidecars, conductors, each with its door. */
+final class Processes implements AutoCloseable {
+
+    static final String KEEPERS = "[\"k0\",\"k1\",\"k2\"]";
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final Path folder;
+    private final List<Process> processes = new ArrayList<>();
+    private int seedPort;
+
+    Processes(Path folder) {
+        this.folder = folder;
+    }
+
+    static int free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** A process that is to be; the first one is the seed of all. */
+    Part part(String name) throws IOException {
+        Part part = new Part(name);
+        seedPort = seedPort == 0 ? part.port : seedPort;
+        return part;
+    }
+
+    /** Three keepers that found their group. */
+    List<Part> keepers() throws IOException {
+        List<Part> keepers = List.of(part("k0"), part("k1"), part("k2"));
+        for (Part keeper : keepers) {
+            keeper.keep("--found");
+        }
+        return keepers;
+    }
+
+    /** One process with its door. */
+    final class Part {
+        final String name;
+        final int port = free();
+        final int door = free();
+        final int clients = free();
+        Process process;
+
+        Part(String name) throws IOException {
+            this.name = name;
+        }
+
+        private String fleet(String more) {
+            return "\"fleet\":{\"name\":\"test\",\"listen\":\"127.0.0.1:" + port
+                + "\",\"seeds\":[\"127.0.0.1:" + seedPort + "\"]" + more + "}";
+        }
+
+        Part keep(String... how) throws IOException {
+            Path file = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name
+                + "\",\"management\":\"127.0.0.1:" + door + "\"," + fleet("") + ",\"keep\":{\"folder\":\""
+                + folder.resolve("log-" + name) + "\",\"founders\":" + KEEPERS + "}}");
+            List<String> command = new ArrayList<>(List.of("-jar",
+                "../fleet/target/mapleroute-fleet-cli.jar", "keep", file.toString()));
+            command.addAll(Arrays.asList(how));
+            return started(command, "");
+        }
+
+        Part serve(String more, String servers) throws IOException {
+            Path file = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name
+                + "\",\"listen\":\"127.0.0.1:" + clients + "\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1f\","
+                + "\"management\":\"127.0.0.1:" + door + "\"," + fleet("," + more)
+                + ",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
+                + "\"known\":{\"version\":1,\"full\":true,\"servers\":[" + servers + "]},\"settings\":{"
+                + "\"azs\":[\"a\"],\"models\":[\"m1\",\"m2\"],\"membership-mode\":\"on_request\","
+                + "\"classes\":[{\"name\":\"read\",\"effect\":\"repeatable\",\"slo-ms\":500,"
+                + "\"hard-limit-ms\":1000}],\"limits\":{\"dial-timeout-ms\":200,\"idle-close-ms\":15000,"
+                + "\"try-limit\":3},\"rules\":{}}}");
+            return started(List.of("-XX:TieredStopAtLevel=1", "-jar", "../sidecar/target/mapleroute.jar",
+                "serve"), file.toString());
+        }
+
+        /** A conductor of the release in a plan. */
+        Part conduct(String plan) throws IOException {
+            Path file = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name
+                + "\",\"management\":\"127.0.0.1:" + door + "\"," + fleet(",\"keepers\":" + KEEPERS) + "}");
+            Path yaml = Files.writeString(folder.resolve(name + ".yaml"), plan);
+            return started(List.of("-jar", "../fleet/target/mapleroute-fleet-cli.jar", "release", "start",
+                yaml.toString(), "--config", file.toString()), "");
+        }
+
+        private Part started(List<String> arguments, String config) throws IOException {
+            List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m"));
+            command.addAll(arguments);
+            ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+            builder.environment().put("GW_CONFIG", config);
+            process = builder.start();
+            processes.add(process);
+            return this;
+        }
+
+        /** What its door says, or nothing where it is not there. */
+        String ask(String call) {
+            try (Socket socket = new Socket("127.0.0.1", door)) {
+                socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.UTF_8));
+                return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8).trim();
+            } catch (IOException e) {
+                return "";
+            }
+        }
+
+        JsonNode duties() throws IOException {
+            return json("duties");
+        }
+
+        /** What its door says to a call that is answered with JSON; an empty object where it is not there. */
+        JsonNode json(String call) throws IOException {
+            String answer = ask(call);
+            return answer.startsWith("done ") ? JSON.readTree(answer.substring(5)) : JSON.createObjectNode();
+        }
+
+        boolean has() throws IOException {
+            return duties().path("duties").path("reader").path("mine").asBoolean();
+        }
+
+        long token() throws IOException {
+            return duties().path("duties").path("reader").path("token").asLong();
+        }
+
+        String log() throws IOException {
+            return Files.readString(folder.resolve(name + ".log"));
+        }
+    }
+
+    /** Asks again and again, two minutes at most: only a fault takes so long, on however slow a machine. */
+    static void awaitThat(String what, Callable<Boolean> wanted) throws Exception {
+        long until = System.nanoTime() + TimeUnit.MINUTES.toNanos(2);
+        while (!wanted.call()) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("not seen: " + what);
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    /** Ends all at once. */
+    @Override
+    public void close() {
+        processes.forEach(Process::destroyForcibly);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/mapleroute/lab/fleet/ReleaseTrialTest.java
@@ -0,0 +1,57 @@
+package mapleroute.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.LongStream;
+import mapleroute.fleet.release.Plan;
+import mapleroute.fleet.release.Stage;
+import mapleroute.lab.fleet.ReleaseTrial.Behaviour;
+import mapleroute.lab.fleet.ReleaseTrial.Outcome;
+import mapleroute.lab.fleet.ReleaseTrial.Setting;
+import mapleroute.lab.fleet.ReleaseTrial.Way;
+import org.junit.jupiter.api.Test;
+
+/** Releases in a fleet of thirty: who is hurt by a bad version, and what becomes of a good one. */
+class ReleaseTrialTest {
+
+    private static final Behaviour WELL = new Behaviour(0.01, 0.03, 0, 0);
+    private static final Behaviour BAD = new Behaviour(0.5, 0.03, 0, 0);
+    private static final Plan PLAN = new Plan("r", "new", List.of(), List.of(0.02, 0.1, 0.5), 10_000, 30,
+        0.005, 0.02, 0.01, true);
+
+    private static List<Outcome> play(Behaviour fresh, double conductorEnds, boolean gateOpen) {
+        return LongStream.rangeClosed(1, 6).parallel().mapToObj(seed -> ReleaseTrial.play(new Setting(30, 10,
+            WELL, fresh, Way.STAGED, PLAN, 60_000, conductorEnds, gateOpen, seed, List.of()))).toList();
+    }
+
+    @Test
+    void aBadVersionHurtsFewAndGoesBack() {
+        for (Outcome outcome : play(BAD, 0, false)) {
+            assertEquals(Stage.Phase.BACK, outcome.last().phase(), outcome.toString());
+            assertTrue(outcome.hurt() * 500 < outcome.calls(), outcome.toString());
+        }
+        // Without a conductor for 7 s the stage stays, and with it those that it hurts.
+        for (Outcome outcome : play(BAD, 3000, false)) {
+            assertEquals(Stage.Phase.BACK, outcome.last().phase(), outcome.toString());
+            assertEquals(2, outcome.last().token());
+            assertTrue(outcome.hurt() * 200 < outcome.calls(), outcome.toString());
+            assertEquals(0, outcome.twoConductors(), outcome.toString());
+        }
+    }
+
+    @Test
+    void aGoodVersionIsDoneAndItsPartIsAsPlanned() {
+        for (Outcome outcome : play(WELL, 0, false)) {
+            assertEquals(Stage.Phase.DONE, outcome.last().phase(), outcome.toString());
+            assertTrue(outcome.worstPart() < 0.05, outcome.toString());
+        }
+    }
+
+    @Test
+    void aGateThatAlwaysPassesIsFoundOut() {
+        assertTrue(play(BAD, 0, true).stream().allMatch(outcome -> outcome.judgedMs() < 0
+            && outcome.hurt() * 500 > outcome.calls()));
+    }
+}
--- a/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
@@ -76,8 +76,8 @@
         /** A client's call has come. */
         void called(int tenant);
 
-        /** An attempt at a server has ended. */
-        void ended(String server, Outcome outcome);
+        /** An attempt at a server has ended; {@code late} if it took longer than its class wants. */
+        void ended(String server, Outcome outcome, boolean late);
     }
 
     private record Queued(Open open, Event event) {
@@ -444,7 +444,10 @@
         made.outcome = outcome;
         made.tookMs = took;
         if (witness != null) {
-            witness.ended(made.server, outcome);
+            // Its class may be gone by new settings: then there is nothing to hold it against.
+            int kind = open.request.requestClass();
+            witness.ended(made.server, outcome, kind < settings.classes().size()
+                && took > settings.classes().get(kind).aimMs());
         }
         raise(open, now -> {
             open.out--;
--- a/sidecar/src/main/java/mapleroute/sidecar/FleetSharing.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/FleetSharing.java
@@ -3,8 +3,8 @@
 import io.netty.channel.EventLoop;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -16,11 +16,14 @@
 import mapleroute.Contract.Tenant;
 import mapleroute.fleet.host.FleetHost;
 import mapleroute.fleet.host.StatusJson;
+import mapleroute.fleet.release.Stage;
+import mapleroute.fleet.release.Stager;
 import mapleroute.fleet.share.Eyes;
 import mapleroute.fleet.share.Sharing;
 import mapleroute.fleet.wire.LoanDesk;
 import mapleroute.fleet.wire.Riders;
 import mapleroute.fleet.wire.SightingRider;
+import mapleroute.fleet.wire.StageRider;
 
 /**
  * Brings what this sidecar sees to the fleet, and what the fleet advises to the decisions. Only a
@@ -37,6 +40,9 @@
     private final Riders riders;
     private final SightingRider sightings;
     private final LoanDesk loans;
+    private final Stager stager = new Stager();
+    private final StageRider stages;
+    private final List<String> kinds;
     private FleetHost host;
     private Settings seen;
 
@@ -48,7 +54,9 @@
         sharing = new Sharing(0, config.name(), random.nextLong() >>> 1, random);
         sightings = new SightingRider(sharing.sightings());
         loans = new LoanDesk(sharing.shares());
-        riders.with(LOANS, loans).with(SIGHTINGS, sightings);
+        kinds = config.names().kinds();
+        stages = new StageRider(stager, random.nextLong() >>> 1);
+        riders.with(LOANS, loans).with(StageRider.LETTER, stages).with(SIGHTINGS, sightings);
         listed(true, config.known().servers());
         exchange.tell(this);
     }
@@ -77,13 +85,15 @@
         List<Double> rates = settings.tier() > 0 ? List.of()
             : settings.tenants().stream().map(tenant -> advice.rates().get(tenant.name())).toList();
         exchange.advise(advice.untilMs() - now,
-            new Guidance(0, advice.ailing(), Set.of(), 0, rates));
+            new Guidance(0, advice.ailing(), stager.staged(now), stager.part(now), rates));
     }
 
     @Override
     public void listed(boolean full, List<Server> changes) {
         sharing.listed(full, changes.stream().collect(Collectors.toMap(Server::id,
             server -> server.state() == State.READY, (before, after) -> after)));
+        stager.listed(full, changes.stream().collect(Collectors.toMap(Server::id, this::kind,
+            (before, after) -> after)));
     }
 
     @Override
@@ -95,7 +105,11 @@
     }
 
     @Override
-    public void ended(String server, Outcome outcome) {
+    public void ended(String server, Outcome outcome, boolean late) {
+        if (outcome != Outcome.QUEUE_FULL && outcome != Outcome.CANCELED && outcome != Outcome.IGNORED) {
+            stager.ended(host == null ? 0 : host.now(), server, outcome != Outcome.OK,
+                outcome == Outcome.OK && late);
+        }
         switch (outcome) {
             case OK -> sharing.saw(server, Eyes.Fate.ANSWERED);
             case FAILED -> sharing.saw(server, Eyes.Fate.ERROR);
@@ -107,10 +121,28 @@
         }
     }
 
+    private String kind(Server server) {
+        return server.kind() >= 0 && server.kind() < kinds.size() ? kinds.get(server.kind()) : "";
+    }
+
     /** The state for operators, as one line of JSON. */
     String status() {
         Map<String, Object> status = sharing.status(host.now());
-        status.put("unreadable", riders.unreadable() + sightings.unreadable() + loans.unreadable());
+        Stage stage = stager.stage(host.now());
+        if (stage != null) {
+            Map<String, Object> release = new LinkedHashMap<>();
+            release.put("name", stage.release());
+            release.put("phase", stage.phase().name().toLowerCase(Locale.ROOT));
+            release.put("part", stager.part(host.now()));
+            release.put("servers", stager.staged(host.now()));
+            release.put("age_ms", (long) stager.ageMs(host.now()));
+            release.put("bound_ms", (long) Stager.HOLD_MS);
+            release.put("why", stage.why());
+            release.put("refused", stager.refused());
+            status.put("release", release);
+        }
+        status.put("unreadable", riders.unreadable() + sightings.unreadable() + loans.unreadable()
+            + stages.unreadable());
         return StatusJson.of(status);
     }
 }
