Show a fleet on one screen with what is wrong; drills that share; what a pause costs is no fault

Need: an operator has to see from any door what is wrong and what to do; the drills did not share, and blamed a process for what it could not answer while it was made to stand still.

Change: `fleet status` (members, versions, ages and bounds of what is shared, allowances, duties, a release, and each fault with its remedy; exit status 3). Kinds of state that ride on nothing need not say so (Rider's methods have defaults), lines to a door are one class. Strange bytes are played to all kinds and to the keepers' messages: nothing is thrown, nothing grows.

--- a/fleet/src/main/java/mapleroute/fleet/cli/DutiesCommand.java
+++ b/fleet/src/main/java/mapleroute/fleet/cli/DutiesCommand.java
@@ -71,66 +71,45 @@
             + status.path("keeper").asText());
     }
 
-    /** One line to a door, done or refused. */
-    private static Integer tell(String door, CommandSpec spec, String call) throws IOException {
-        spec.commandLine().getOut().println(new Door(door).tell(call));
-        spec.commandLine().getOut().flush();
-        return 0;
-    }
-
     /** Moves a duty. */
     @Command(name = "move", mixinStandardHelpOptions = true,
-        description = "Has a duty's holder give it up to another member, if that one wants it.")
-    static final class Move implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-        @Parameters(paramLabel = "DUTY")
+        description = "Has a duty's holder give it up to another member, if that one wants it; said to the"
+            + " leader.")
+    static final class Move extends DoorCall {
+        @Parameters(index = "0", paramLabel = "DUTY")
         private String duty;
-        @Parameters(paramLabel = "MEMBER")
+        @Parameters(index = "1", paramLabel = "MEMBER")
         private String member;
-        @Option(names = "--door", paramLabel = "HOST:PORT", required = true,
-            description = "The leader's door.")
-        private String door;
 
         @Override
         public Integer call() throws IOException {
-            return tell(door, spec, "duty-move " + duty + " " + member);
+            return tell("duty-move " + duty + " " + member);
         }
     }
 
     /** Lets a keeper into the group. */
     @Command(name = "add-keeper", mixinStandardHelpOptions = true,
-        description = "Lets a keeper that was started with 'keep --join' into the group.")
-    static final class Add implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
+        description = "Lets a keeper that was started with 'keep --join' into the group; said to the leader.")
+    static final class Add extends DoorCall {
         @Parameters(paramLabel = "ID", description = "As its log names it.")
         private String id;
-        @Option(names = "--door", paramLabel = "HOST:PORT", required = true,
-            description = "The leader's door.")
-        private String door;
 
         @Override
         public Integer call() throws IOException {
-            return tell(door, spec, "keeper-add " + id);
+            return tell("keeper-add " + id);
         }
     }
 
     /** Takes a keeper out of the group. */
     @Command(name = "remove-keeper", mixinStandardHelpOptions = true,
-        description = "Takes a keeper out of the group, as one whose log is lost.")
-    static final class Remove implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
+        description = "Takes a keeper out of the group, as one whose log is lost; said to the leader.")
+    static final class Remove extends DoorCall {
         @Parameters(paramLabel = "ID", description = "As 'fleet duties' names it.")
         private String id;
-        @Option(names = "--door", paramLabel = "HOST:PORT", required = true,
-            description = "The leader's door.")
-        private String door;
 
         @Override
         public Integer call() throws IOException {
-            return tell(door, spec, "keeper-remove " + id);
+            return tell("keeper-remove " + id);
         }
     }
 }
--- a/fleet/src/main/java/mapleroute/fleet/cli/FleetCommand.java
+++ b/fleet/src/main/java/mapleroute/fleet/cli/FleetCommand.java
@@ -6,14 +6,15 @@
 
 /** The command line for operators of a fleet. */
 @Command(name = "fleet", mixinStandardHelpOptions = true, versionProvider = FleetCommand.Version.class,
-    subcommands = {MembersCommand.class, WatchCommand.class, DutiesCommand.class,
+    subcommands = {StatusCommand.class, MembersCommand.class, WatchCommand.class, DutiesCommand.class,
         KeepCommand.class, ReleaseCommand.class},
     description = "Shows what a process of a fleet sees, by way of its operators' door, and runs keepers.",
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:all went well", "1:the process gave no answer, or an error",
         "2:the command line is wrong"},
     footerHeading = "%nExamples:%n",
-    footer = {"  fleet members --door 127.0.0.1:9100", "  fleet watch --door 127.0.0.1:9100"})
+    footer = {"  fleet status --door 127.0.0.1:9100", "  fleet members --door 127.0.0.1:9100",
+        "  fleet watch --door 127.0.0.1:9100"})
 public final class FleetCommand {
 
     /** The version, from the jar. */
--- a/fleet/src/main/java/mapleroute/fleet/cli/ReleaseCommand.java
+++ b/fleet/src/main/java/mapleroute/fleet/cli/ReleaseCommand.java
@@ -72,32 +72,9 @@
         }
     }
 
-    /** Asks one door. */
-    private abstract static class Call implements Callable<Integer> {
-        @Spec
-        private CommandSpec spec;
-        @Option(names = "--door", paramLabel = "HOST:PORT", required = true,
-            description = "The conductor's door.")
-        private String door;
-
-        PrintWriter out() {
-            return spec.commandLine().getOut();
-        }
-
-        Door door() {
-            return new Door(door);
-        }
-
-        Integer tell(String call) throws IOException {
-            out().println(door().tell(call));
-            out().flush();
-            return 0;
-        }
-    }
-
     /** Shows a release. */
     @Command(name = "status", mixinStandardHelpOptions = true, description = "Shows how far a release is.")
-    static final class Status extends Call {
+    static final class Status extends DoorCall {
         @Option(names = "--json", description = "As the conductor gives it, for machines.")
         private boolean json;
 
@@ -131,7 +108,7 @@
 
     /** Halts. */
     @Command(name = "halt", mixinStandardHelpOptions = true, description = "Stays at the present stage.")
-    static final class Halt extends Call {
+    static final class Halt extends DoorCall {
         @Override
         public Integer call() throws IOException {
             return tell("release-halt");
@@ -140,7 +117,7 @@
 
     /** Goes on. */
     @Command(name = "resume", mixinStandardHelpOptions = true, description = "Goes on after a halt.")
-    static final class Resume extends Call {
+    static final class Resume extends DoorCall {
         @Override
         public Integer call() throws IOException {
             return tell("release-resume");
@@ -150,7 +127,7 @@
     /** Goes back. */
     @Command(name = "back", mixinStandardHelpOptions = true,
         description = "The new version gets no calls any more.")
-    static final class Back extends Call {
+    static final class Back extends DoorCall {
         @Override
         public Integer call() throws IOException {
             return tell("release-back");
--- a/fleet/src/main/java/mapleroute/fleet/conduct/ConductorHost.java
+++ b/fleet/src/main/java/mapleroute/fleet/conduct/ConductorHost.java
@@ -21,7 +21,6 @@
 import mapleroute.fleet.host.FleetHost;
 import mapleroute.fleet.host.LineDoor;
 import mapleroute.fleet.host.StatusJson;
-import mapleroute.fleet.member.Message;
 import mapleroute.fleet.member.Profile;
 import mapleroute.fleet.member.Rider;
 import mapleroute.fleet.member.State;
@@ -131,16 +130,6 @@
     }
 
     private final class Answers implements Rider {
-        @Override
-        public ByteBuffer next(double now, int bytes, int members) {
-            return Message.NOTHING;
-        }
-
-        @Override
-        public void hear(double now, ByteBuffer told, double transitMs) {
-            unreadable++;
-        }
-
         @Override
         public void told(double now, String from, long sequence, ByteBuffer answer) {
             try {
--- a/fleet/src/main/java/mapleroute/fleet/keeper/RaftKeeper.java
+++ b/fleet/src/main/java/mapleroute/fleet/keeper/RaftKeeper.java
@@ -269,16 +269,6 @@
     /** Questions for duties. */
     public Rider desk() {
         return new Rider() {
-            @Override
-            public ByteBuffer next(double now, int bytes, int members) {
-                return Message.NOTHING;
-            }
-
-            @Override
-            public void hear(double now, ByteBuffer told, double transitMs) {
-                unreadable++;
-            }
-
             @Override
             public ByteBuffer asked(double now, String from, long sequence, ByteBuffer question) {
                 try {
@@ -295,16 +285,6 @@
     /** Messages of other keepers. */
     public Rider post() {
         return new Rider() {
-            @Override
-            public ByteBuffer next(double now, int bytes, int members) {
-                return Message.NOTHING;
-            }
-
-            @Override
-            public void hear(double now, ByteBuffer told, double transitMs) {
-                unreadable++;
-            }
-
             @Override
             public ByteBuffer asked(double now, String from, long sequence, ByteBuffer message) {
                 byte[] bytes = new byte[message.remaining()];
--- a/fleet/src/main/java/mapleroute/fleet/member/Membership.java
+++ b/fleet/src/main/java/mapleroute/fleet/member/Membership.java
@@ -180,14 +180,12 @@
             }
             case NACK -> prober.notAcknowledged(message);
             case PING_REQUEST -> prober.errand(now, message);
-            case GOSSIP -> {
-            }
             case SYNC_ASK -> antiEntropy.asked(now, message);
             case SYNC_REPLY -> antiEntropy.replied(now, message);
             case SYNC_PUSH -> antiEntropy.pushed(now, message);
             case ASK -> answer(now, message);
             case TELL -> rider.told(now, message.from(), message.sequence(), message.rider());
-            default -> throw new IllegalStateException("no such kind: " + message.kind());
+            default -> { } // GOSSIP: its news was all.
         }
         boolean differs = !whole && message.digest() != table.viewDigest() && rumours.isEmpty();
         if (differs && self.successor() == null && !self.isLeaving() && !message.from().equals(self.name)) {
--- a/fleet/src/main/java/mapleroute/fleet/member/Rider.java
+++ b/fleet/src/main/java/mapleroute/fleet/member/Rider.java
@@ -11,15 +11,6 @@
 
     /** Takes nothing along. */
     Rider NONE = new Rider() {
-        @Override
-        public ByteBuffer next(double now, int bytes, int members) {
-            return Message.NOTHING;
-        }
-
-        @Override
-        public void hear(double now, ByteBuffer told, double transitMs) {
-            // Nothing is kept.
-        }
     };
 
     /**
@@ -28,14 +19,18 @@
      * @param bytes room for it
      * @param members of the fleet, which says how often news must be told on
      */
-    ByteBuffer next(double now, int bytes, int members);
+    default ByteBuffer next(double now, int bytes, int members) {
+        return Message.NOTHING;
+    }
 
     /**
      * What an answer brought.
      *
      * @param transitMs it was under way for so long at most
      */
-    void hear(double now, ByteBuffer told, double transitMs);
+    default void hear(double now, ByteBuffer told, double transitMs) {
+        // Nothing is kept.
+    }
 
     /**
      * A member asks something.
--- a/fleet/src/main/java/mapleroute/fleet/wire/LoanDesk.java
+++ b/fleet/src/main/java/mapleroute/fleet/wire/LoanDesk.java
@@ -36,16 +36,6 @@
         return array(null, rate);
     }
 
-    @Override
-    public ByteBuffer next(double now, int bytes, int members) {
-        return Message.NOTHING;
-    }
-
-    @Override
-    public void hear(double now, ByteBuffer told, double transitMs) {
-        unreadable++;
-    }
-
     @Override
     public ByteBuffer asked(double now, String from, long sequence, ByteBuffer question) {
         try (JsonParser in = FACTORY.createParser(bytes(question))) {
--- /dev/null
+++ b/fleet/src/test/java/mapleroute/fleet/keeper/RaftMessagesTest.java
@@ -0,0 +1,74 @@
+package mapleroute.fleet.keeper;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.InstallSnapshotRequest;
+import io.microraft.model.message.RaftMessage;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import mapleroute.fleet.duty.Command;
+import mapleroute.fleet.duty.Ledger;
+import org.junit.jupiter.api.Test;
+
+/** Keepers' messages to each other as bytes, whole and spoilt. */
+class RaftMessagesTest {
+
+    private static RaftMessage entries() {
+        return RaftCodec.MODEL.createAppendEntriesRequestBuilder().setGroupId("duties-0")
+            .setSender(new Id("k1")).setTerm(3).setPreviousLogTerm(2).setPreviousLogIndex(8).setCommitIndex(7)
+            .setLogEntries(List.of(RaftCodec.MODEL.createLogEntryBuilder().setIndex(9).setTerm(3)
+                .setOperation(Command.acquire("d", "m", 5)).build())).setQuerySequenceNumber(1)
+            .setFlowControlSequenceNumber(2).build();
+    }
+
+    private static RaftMessage snapshot() {
+        RaftGroupMembersView view = RaftCodec.MODEL.createRaftGroupMembersViewBuilder().setLogIndex(1)
+            .setMembers(List.of(new Id("k1"), new Id("k2/5a"))).setVotingMembers(List.of(new Id("k1")))
+            .build();
+        return RaftCodec.MODEL.createInstallSnapshotRequestBuilder().setGroupId("duties-0")
+            .setSender(new Id("k1")).setTerm(3).setSenderLeader(true).setSnapshotTerm(2).setSnapshotIndex(4)
+            .setTotalSnapshotChunkCount(1).setSnapshotChunk(RaftCodec.MODEL.createSnapshotChunkBuilder()
+                .setIndex(4).setTerm(2).setOperation(Map.of("d", new Ledger.Duty("m", 5, 7, 2, "")))
+                .setSnapshotChunkIndex(0).setSnapshotChunkCount(1).setGroupMembersView(view).build())
+            .setSnapshottedMembers(List.of(new Id("k2/5a"))).setGroupMembersView(view)
+            .setQuerySequenceNumber(0).setFlowControlSequenceNumber(0).build();
+    }
+
+    @Test
+    void theyComeBackAsTheyWere() throws IOException {
+        RaftMessages.Addressed addressed = RaftMessages.decode(RaftMessages.encode("k2", entries()));
+        AppendEntriesRequest request = (AppendEntriesRequest) addressed.message();
+        assertEquals("k2", addressed.to());
+        assertEquals(new Id("k1"), request.getSender());
+        assertEquals(Command.acquire("d", "m", 5), request.getLogEntries().get(0).getOperation());
+        InstallSnapshotRequest install = (InstallSnapshotRequest) RaftMessages.decode(
+            RaftMessages.encode("k2", snapshot())).message();
+        assertEquals(Map.of("d", new Ledger.Duty("m", 5, 7, 2, "")),
+            install.getSnapshotChunk().getOperation());
+        assertEquals("k2", ((Id) install.getSnapshottedMembers().iterator().next()).name());
+    }
+
+    /** Whatever the bytes are, they are a message or an exception that says that they are none. */
+    @Test
+    void spoiltBytesAreRefused() throws IOException {
+        Random random = new Random(3);
+        int refused = 0;
+        for (int i = 0; i < 20_000; i++) {
+            byte[] bytes = RaftMessages.encode("k2", i % 2 == 0 ? entries() : snapshot());
+            for (int changes = 1 + random.nextInt(3); changes > 0; changes--) {
+                bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+            }
+            try {
+                RaftMessages.decode(bytes);
+            } catch (IOException | IllegalArgumentException e) {
+                refused++;
+            }
+        }
+        assertTrue(refused > 1000);
+    }
+}
--- a/lab/src/main/java/mapleroute/lab/drill/DrillOutcome.java
+++ b/lab/src/main/java/mapleroute/lab/drill/DrillOutcome.java
@@ -65,6 +65,9 @@
                 + " at %.1f s", Math.max(0, healed - lastFault), lastFault));
         }
         day.rules().forEach((rule, count) -> broken.add("rule " + rule + " broken " + count + " times"));
+        day.broken().forEach(each -> broken.add(String.format(Locale.ROOT,
+            "at %.3f s: request %s, nodo %s: %s",
+            each.atMs() / 1000, each.request(), each.nodo(), each.why())));
         Map<String, List<double[]>> views = new TreeMap<>();
         samples.forEach((process, own) -> views.put(process, own.stream().filter(one -> one.at() >= 0)
             .map(one -> new double[] {one.at(), one.present()}).toList()));
--- a/lab/src/test/java/mapleroute/lab/fleet/DutyProcessesTest.java
+++ b/lab/src/test/java/mapleroute/lab/fleet/DutyProcessesTest.java
@@ -56,11 +56,19 @@
         assertEquals("done", leader.ask("duty-move reader b"));
         awaitThat("moved to b", b::has);
         assertTrue(b.token() > first);
+        awaitThat("all is told to be well", () -> {
+            String well = processes.fleet("status", "--door", "127.0.0.1:" + b.door);
+            return well.startsWith("0 ") && well.contains("duty reader: this process")
+                && well.contains("nothing is wrong");
+        });
         // The keepers' leader dies, and with it nothing: another leads, and the holder stays.
         leader.process.destroyForcibly().waitFor();
         awaitThat("another leads", () -> keepers.stream().anyMatch(keeper -> keeper != leader
             && keeper.ask("duties").contains("\"leads\":true")));
         assertTrue(b.has(), "the holder outlasts an election");
+        awaitThat("its death is told", () -> b.ask("members").contains("\"state\":\"dead\""));
+        String ill = processes.fleet("status", "--door", "127.0.0.1:" + b.door);
+        assertTrue(ill.startsWith("3 ") && ill.contains("dead without a word: " + leader.name), ill);
         final long second = b.token();
         b.process.destroy();
         awaitThat("passed on at the end of b", a::has);
--- a/lab/src/test/java/mapleroute/lab/fleet/Processes.java
+++ b/lab/src/test/java/mapleroute/lab/fleet/Processes.java
@@ -157,6 +157,17 @@
         }
     }
 
+    /** What the command line says, after its exit status. */
+    String fleet(String... arguments) throws Exception {
+        List<String> command = new ArrayList<>(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
+            "../fleet/target/mapleroute-fleet-cli.jar"));
+        command.addAll(Arrays.asList(arguments));
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        return process.waitFor() + " " + said;
+    }
+
     /** Ends all at once. */
     @Override
     public void close() {
--- a/sidecar/src/main/java/mapleroute/sidecar/FleetDuties.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/FleetDuties.java
@@ -12,7 +12,6 @@
 import mapleroute.fleet.host.FleetConfig;
 import mapleroute.fleet.host.FleetHost;
 import mapleroute.fleet.host.StatusJson;
-import mapleroute.fleet.member.Message;
 import mapleroute.fleet.member.Rider;
 import mapleroute.fleet.wire.DutyCodec;
 import mapleroute.fleet.wire.Riders;
@@ -105,16 +104,6 @@
             + why);
     }
 
-    @Override
-    public ByteBuffer next(double now, int bytes, int members) {
-        return Message.NOTHING;
-    }
-
-    @Override
-    public void hear(double now, ByteBuffer told, double transitMs) {
-        unreadable++;
-    }
-
     @Override
     public void told(double now, String from, long sequence, ByteBuffer answer) {
         try {
