Measure hand-overs of duties between real processes, and give a duty back until it is taken

Need: how long a duty is without a holder was known from the virtual clock and from single tests alone.

Change: `lab handovers` starts keepers and processes that want a duty, takes it from its holder by operators' word, SIGTERM, SIGKILL, SIGSTOP and SIGTERM with the keepers' leader killed, and tells the times by way; tokens must grow, and who wakes must not believe to have it. A process that ends gives its duty back again and again until a keeper has it, and members that leave still get answers; before, three tries ended within 2 s.

--- a/fleet/src/main/java/mapleroute/fleet/duty/DutyClient.java
+++ b/fleet/src/main/java/mapleroute/fleet/duty/DutyClient.java
@@ -56,12 +56,17 @@
         long sequence = -1;
         Command asked;
         double sentMs;
+        /** It is given back, and no keeper has said that it is. */
+        boolean releasing;
         int releases;
         Ledger.Duty seen = Ledger.Duty.FREE;
     }
 
-    /** So often a duty is given back, each time to another keeper; after that its time runs out by itself. */
-    private static final int RELEASES = 3;
+    /**
+     * So often a duty is given back, to one keeper after the other: for as long as its time would run by
+     * itself, which an election of the keepers does not outlast.
+     */
+    private static final int RELEASES = 20;
 
     private final Terms terms;
     private final String member;
@@ -118,6 +123,7 @@
     }
 
     private void release(double now, String duty, Wish wish) {
+        wish.releasing = true;
         wish.releases = 0;
         send(now, duty, wish, new Command(Command.Kind.RELEASE, duty, member, run, wish.token, 0));
     }
@@ -166,11 +172,14 @@
                 wish.sequence = -1;
                 leader = keepers.get(random.nextInt(keepers.size()));
                 wish.askMs = now;
-                if (wish.asked.kind() == Command.Kind.RELEASE && ++wish.releases < RELEASES) {
-                    send(now, duty, wish, wish.asked);
-                }
             }
-            if (wish.wanted && wish.sequence < 0 && now >= wish.askMs) {
+            if (wish.sequence >= 0 || now < wish.askMs) {
+                return;
+            }
+            if (wish.releasing && ++wish.releases <= RELEASES) {
+                send(now, duty, wish, new Command(Command.Kind.RELEASE, duty, member, run, wish.token, 0));
+            } else if (wish.wanted) {
+                wish.releasing = false;
                 boolean has = now < wish.untilMs;
                 send(now, duty, wish, has ? new Command(Command.Kind.RENEW, duty, member, run, wish.token, 0)
                     : Command.acquire(duty, member, run));
@@ -241,7 +250,10 @@
                     }
                 }
             }
-            default -> wish.askMs = now + terms.staggerMs();
+            default -> {
+                wish.releasing = false;
+                wish.askMs = now + terms.staggerMs();
+            }
         }
     }
 
@@ -255,7 +267,7 @@
             if (wish.sequence >= 0) {
                 boolean parked = wish.asked.kind() == Command.Kind.ACQUIRE;
                 next = Math.min(next, wish.sentMs + terms.answerMs() + (parked ? terms.parkMs() : 0));
-            } else if (wish.wanted) {
+            } else if (wish.wanted || wish.releasing) {
                 next = Math.min(next, wish.askMs);
             }
         }
--- a/fleet/src/main/java/mapleroute/fleet/member/Membership.java
+++ b/fleet/src/main/java/mapleroute/fleet/member/Membership.java
@@ -253,7 +253,8 @@
     public void tell(double now, String member, long sequence, ByteBuffer answer) {
         enter(now);
         MemberTable.Entry entry = table.get(member);
-        if (entry != null && entry.held.state().isPresent() && self.successor() == null) {
+        // Who leaves may still wait for an answer.
+        if (entry != null && entry.held.state() != State.DEAD && self.successor() == null) {
             send(Message.Kind.TELL, member, entry.held.address(), sequence, "", "", answer);
         }
         left(now);
--- a/lab/src/main/java/mapleroute/lab/Lab.java
+++ b/lab/src/main/java/mapleroute/lab/Lab.java
@@ -9,7 +9,8 @@
 @Command(name = "lab", mixinStandardHelpOptions = true, versionProvider = Lab.Version.class,
     subcommands = {RunCommand.class, SweepCommand.class, CompareCommand.class, ListCommand.class,
     ExploreCommand.class, MembersCommand.class, DrillCommand.class,
-    SharingCommand.class, AllowancesCommand.class, ReleasesCommand.class},
+    SharingCommand.class, AllowancesCommand.class, ReleasesCommand.class,
+    HandoversCommand.class},
     description =
     "Plays experiments against sidecars in a world of the lab's own, and reports how they went.",
     exitCodeListHeading = "%nExit codes:%n",
--- a/lab/src/test/java/mapleroute/lab/fleet/Processes.java
+++ b/lab/src/main/java/mapleroute/lab/drill/Processes.java
@@ -1,4 +1,4 @@
-package mapleroute.lab.fleet;
+package mapleroute.lab.drill;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -14,19 +14,39 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 
-/** Real processes of a fleet: keepers, sidecars, conductors, each with its door. */
+/** Real processes of a fleet on loopback: keepers, sidecars, conductors, each with its door. */
 final class Processes implements AutoCloseable {
 
-    static final String KEEPERS = "[\"k0\",\"k1\",\"k2\"]";
+    /** A process that stands still takes a connection and says nothing. */
+    private static final int PATIENCE_MS = 2000;
+    /** Looking again this often costs a door little. */
+    private static final int LOOK_MS = 20;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private final Path folder;
+    private final Path root;
+    private final List<String> names;
     private final List<Process> processes = new ArrayList<>();
     private int seedPort;
 
-    Processes(Path folder) {
+    /**
+     * None yet.
+     *
+     * @param folder for configurations and logs
+     * @param root of the repository, with the programs built
+     * @param keepers how many there are to be
+     */
+    Processes(Path folder, Path root, int keepers) {
         this.folder = folder;
+        this.root = root;
+        names = IntStream.range(0, keepers).mapToObj(i -> "k" + i).toList();
+    }
+
+    /** The keepers' names as JSON. */
+    private String group() {
+        return "[\"" + String.join("\",\"", names) + "\"]";
     }
 
     static int free() throws IOException {
@@ -42,9 +62,12 @@
         return part;
     }
 
-    /** Three keepers that found their group. */
+    /** The keepers, which found their group. */
     List<Part> keepers() throws IOException {
-        List<Part> keepers = List.of(part("k0"), part("k1"), part("k2"));
+        List<Part> keepers = new ArrayList<>();
+        for (String name : names) {
+            keepers.add(part(name));
+        }
         for (Part keeper : keepers) {
             keeper.keep("--found");
         }
@@ -68,16 +91,28 @@
                 + "\",\"seeds\":[\"127.0.0.1:" + seedPort + "\"]" + more + "}";
         }
 
+        /** The keepers' names as JSON. */
+        String group() {
+            return Processes.this.group();
+        }
+
+        /** Starts as a keeper. */
         Part keep(String... how) throws IOException {
             Path file = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name
                 + "\",\"management\":\"127.0.0.1:" + door + "\"," + fleet("") + ",\"keep\":{\"folder\":\""
-                + folder.resolve("log-" + name) + "\",\"founders\":" + KEEPERS + "}}");
+                + folder.resolve("log-" + name) + "\",\"founders\":" + group() + "}}");
             List<String> command = new ArrayList<>(List.of("-jar",
-                "../fleet/target/mapleroute-fleet-cli.jar", "keep", file.toString()));
+                commandLine(), "keep", file.toString()));
             command.addAll(Arrays.asList(how));
             return started(command, "");
         }
 
+        /**
+         * Starts as a sidecar.
+         *
+         * @param more keys of its fleet section, as JSON
+         * @param servers that it knows, as JSON
+         */
         Part serve(String more, String servers) throws IOException {
             Path file = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name
                 + "\",\"listen\":\"127.0.0.1:" + clients + "\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1f\","
@@ -88,16 +123,16 @@
                 + "\"classes\":[{\"name\":\"read\",\"effect\":\"repeatable\",\"slo-ms\":500,"
                 + "\"hard-limit-ms\":1000}],\"limits\":{\"dial-timeout-ms\":200,\"idle-close-ms\":15000,"
                 + "\"try-limit\":3},\"rules\":{}}}");
-            return started(List.of("-XX:TieredStopAtLevel=1", "-jar", "../sidecar/target/mapleroute.jar",
-                "serve"), file.toString());
+            return started(List.of("-XX:TieredStopAtLevel=1", "-jar",
+                root.resolve("sidecar/target/mapleroute.jar").toString(), "serve"), file.toString());
         }
 
         /** A conductor of the release in a plan. */
         Part conduct(String plan) throws IOException {
             Path file = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name
-                + "\",\"management\":\"127.0.0.1:" + door + "\"," + fleet(",\"keepers\":" + KEEPERS) + "}");
+                + "\",\"management\":\"127.0.0.1:" + door + "\"," + fleet(",\"keepers\":" + group()) + "}");
             Path yaml = Files.writeString(folder.resolve(name + ".yaml"), plan);
-            return started(List.of("-jar", "../fleet/target/mapleroute-fleet-cli.jar", "release", "start",
+            return started(List.of("-jar", commandLine(), "release", "start",
                 yaml.toString(), "--config", file.toString()), "");
         }
 
@@ -116,6 +151,7 @@
         /** What its door says, or nothing where it is not there. */
         String ask(String call) {
             try (Socket socket = new Socket("127.0.0.1", door)) {
+                socket.setSoTimeout(PATIENCE_MS);
                 socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.UTF_8));
                 return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8).trim();
             } catch (IOException e) {
@@ -133,14 +169,21 @@
             return answer.startsWith("done ") ? JSON.readTree(answer.substring(5)) : JSON.createObjectNode();
         }
 
+        /** Whether it has the duty called reader. */
         boolean has() throws IOException {
             return duties().path("duties").path("reader").path("mine").asBoolean();
         }
 
+        /** The highest token of that duty that it knows of. */
         long token() throws IOException {
             return duties().path("duties").path("reader").path("token").asLong();
         }
 
+        /** Sends it a signal that Java has no word for. */
+        void signal(String signal) throws IOException, InterruptedException {
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+        }
+
         String log() throws IOException {
             return Files.readString(folder.resolve(name + ".log"));
         }
@@ -151,17 +194,21 @@
         long until = System.nanoTime() + TimeUnit.MINUTES.toNanos(2);
         while (!wanted.call()) {
             if (System.nanoTime() > until) {
-                throw new AssertionError("not seen: " + what);
+                throw new IOException("not seen within two minutes: " + what);
             }
-            TimeUnit.MILLISECONDS.sleep(20);
+            TimeUnit.MILLISECONDS.sleep(LOOK_MS);
         }
     }
 
+    private String commandLine() {
+        return root.resolve("fleet/target/mapleroute-fleet-cli.jar").toString();
+    }
+
     /** What the command line says, after its exit status. */
     String fleet(String... arguments) throws Exception {
         List<String> command = new ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
-            "../fleet/target/mapleroute-fleet-cli.jar"));
+            commandLine()));
         command.addAll(Arrays.asList(arguments));
         Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
--- a/lab/src/test/java/mapleroute/lab/fleet/DutyProcessesTest.java
+++ b/lab/src/test/java/mapleroute/lab/drill/DutyProcessesTest.java
@@ -1,13 +1,13 @@
-package mapleroute.lab.fleet;
+package mapleroute.lab.drill;
 
-import static mapleroute.lab.fleet.Processes.awaitThat;
+import static mapleroute.lab.drill.Processes.awaitThat;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import mapleroute.lab.fleet.Processes.Part;
+import mapleroute.lab.drill.Processes.Part;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,7 +28,7 @@
 
     @BeforeEach
     void begin() {
-        processes = new Processes(folder);
+        processes = new Processes(folder, Path.of(".."), 3);
     }
 
     @AfterEach
@@ -37,7 +37,7 @@
     }
 
     private static Part serve(Part part, int preference) throws Exception {
-        return part.serve("\"keepers\":" + Processes.KEEPERS + ",\"duties\":{\"reader\":" + preference + "}",
+        return part.serve("\"keepers\":" + part.group() + ",\"duties\":{\"reader\":" + preference + "}",
             SERVER);
     }
 
--- a/lab/src/test/java/mapleroute/lab/fleet/ReleaseProcessesTest.java
+++ b/lab/src/test/java/mapleroute/lab/drill/ReleaseProcessesTest.java
@@ -1,6 +1,6 @@
-package mapleroute.lab.fleet;
+package mapleroute.lab.drill;
 
-import static mapleroute.lab.fleet.Processes.awaitThat;
+import static mapleroute.lab.drill.Processes.awaitThat;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -17,7 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
-import mapleroute.lab.fleet.Processes.Part;
+import mapleroute.lab.drill.Processes.Part;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -49,7 +49,7 @@
 
     @BeforeEach
     void begin() {
-        processes = new Processes(folder);
+        processes = new Processes(folder, Path.of(".."), 3);
     }
 
     @AfterEach
