Hear SIGHUP and SIGTERM from the first moment of the start

Cause, by reading Main.serve: the handler of SIGHUP was registered after Sidecar.start had returned, some hundred ms after main began. A SIGHUP in between ended the program, as the virtual machine's own handler does: a crash, as a new configuration goes to all processes, also to those that just start. SIGTERM there ended it without a drain. Ruled out: covering the time before main as well, by a shell that ignores the signal before exec: the virtual machine then leaves it ignored for good.

Change: both are registered first, and heeded once there is a sidecar; a start that fails exits with its own status.

Test: the configuration is a pipe, and the signal comes while the program waits to read it.

--- a/sidecar/src/main/java/mapleroute/Main.java
+++ b/sidecar/src/main/java/mapleroute/Main.java
@@ -9,6 +9,7 @@
 import java.io.PrintStream;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import mapleroute.benchlink.BenchLink;
 import mapleroute.benchlink.WireException;
 import mapleroute.sidecar.Sidecar;
@@ -75,20 +76,33 @@
                 throw new IllegalArgumentException("GW_CONFIG must name the configuration file but is "
                     + configFile);
             }
-            Path file = Path.of(configFile);
-            Sidecar sidecar = Sidecar.start(SidecarConfig.read(file), inherited(), errors);
-            // Unhandled, SIGHUP ends the program; the platform sends it when the file is another.
-            Signal.handle(new Signal("HUP"), signal -> sidecar.reload(file));
-            // Halting from the hook, once empty, makes a stop by SIGTERM a clean exit.
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                sidecar.drain();
-                Runtime.getRuntime().halt(0);
-            }, "drain"));
-            return 0;
+            return serve(Path.of(configFile), errors);
         } catch (IOException | RuntimeException e) {
             errors.println("mapleroute: " + (e.getMessage() == null ? e.toString()
                 : e.getMessage().lines().findFirst().orElse("")));
             return 1;
         }
     }
+
+    /**
+     * Signals are heard from the first moment: one that comes while the sidecar starts is heeded once it has.
+     * Unhandled, SIGHUP would end the program; the platform sends it when the file is another.
+     */
+    private static int serve(Path file, PrintStream errors) throws IOException {
+        CompletableFuture<Sidecar> started = new CompletableFuture<>();
+        Signal.handle(new Signal("HUP"), signal -> started.thenAccept(sidecar -> sidecar.reload(file)));
+        // Halting from the hook, once empty, makes a stop by SIGTERM a clean exit. A start that fails exits
+        // by itself, with its own status.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> started.thenAccept(sidecar -> {
+            sidecar.drain();
+            Runtime.getRuntime().halt(0);
+        }).exceptionally(failed -> null).join(), "drain"));
+        try {
+            started.complete(Sidecar.start(SidecarConfig.read(file), inherited(), errors));
+            return 0;
+        } catch (IOException | RuntimeException | Error e) {
+            started.completeExceptionally(e);
+            throw e;
+        }
+    }
 }
--- a/sidecar/src/test/java/mapleroute/MainTest.java
+++ b/sidecar/src/test/java/mapleroute/MainTest.java
@@ -6,6 +6,7 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -85,6 +86,35 @@
         }
     }
 
+    /** Guards against an end by a signal that comes before there is anything to heed it. */
+    @Test
+    void aHangUpDuringTheStartIsHeededAfterIt() throws Exception {
+        Path file = folder.resolve("pipe");
+        assertEquals(0, new ProcessBuilder("mkfifo", file.toString()).start().waitFor());
+        ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
+            .toString(), "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"),
+            "mapleroute.Main", "serve");
+        builder.environment().put("GW_CONFIG", file.toString());
+        Process process = builder.redirectErrorStream(true).start();
+        try (BufferedReader log = process.inputReader()) {
+            // Opening it to write returns once the process has opened it to read: it is starting now.
+            try (OutputStream pipe = Files.newOutputStream(file)) {
+                hangUp(process);
+                pipe.write(CONFIG.getBytes(StandardCharsets.UTF_8));
+            }
+            // It has read the file, and reads it once more now.
+            awaitLine(log, "clients connect to");
+            try (OutputStream again = Files.newOutputStream(file)) {
+                again.write(CONFIG.getBytes(StandardCharsets.UTF_8));
+            }
+            awaitLine(log, "a new configuration is taken up");
+            process.toHandle().destroy();
+            assertEquals(0, process.waitFor());
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     private static void hangUp(Process process) throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
