Give the watch on discovery one state machine, and make it keep to 6 s after failures

Cause, by reading: a failed call was followed by waits that DecisionModule chose from the setting for asking (Decide.onServers: up to 0.05 of it, then twice as long each, up to eight times): 4 s at the 10 s of this site, half an hour where a site gives an hour. A change counts as told 6 s after discovery had it and could be reached, also after refused calls. A silent watch was given up after 5 s, which left one call. A process that knew of no server asked within half of that setting, though it could not serve before. A list older than the one known took its place.

Change: DiscoveryClient owns the watch from its first call on, in the states idle, connecting, watching and backing off, with one timer each; the worst case is worked out beside its constants. After a failure the next call comes at random within 0.5 s, then 1 s; after a silent wait at once; an agent is asked again within 0.1 s as before. A process without a server asks at once. An older list is a failed call. The module still hears nothing of failures from a real host; the simulator's keep their way.

Tests: refused calls with the setting at an hour; an older list after a newer one.

--- a/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
@@ -32,13 +32,10 @@
  * The host of the decision module: the table of open requests and their attempts. It carries out what the
  * module asks for, tells it what comes of it, and sees to it that each request gets one final answer.
  */
-final class Exchange implements Actions, DiscoveryClient.Listener {
+final class Exchange implements Actions {
 
     /** So long after its deadline a request that nothing has concluded fails. */
     private static final double OVERDUE_MS = 5;
-    /** Where lists are pushed, the agent is asked again after this pause when a call has failed. */
-    private static final int AGENT_PAUSE_MS = 100;
-
     /** A stream is given up when nothing has moved for so long: far longer than any peer that still gives. */
     private static final double STALL_MS = 10_000;
     /** So long a client may leave an answer unread, which may wait behind another on its connection. */
@@ -181,7 +178,8 @@
         settings = config.settings();
         module = new Decide(settings, config.seed(), this);
         tellList(ListKind.CACHED, config.known());
-        if (!settings.asksForList()) {
+        // Who knows of no endpoint cannot serve: that need not wait for the time the module would choose.
+        if (!settings.asksForList() || !listed) {
             watch.run();
         }
     }
@@ -269,8 +267,8 @@
         raise(open, now -> module.onClientGone(now, open.request.id()));
     }
 
-    @Override
-    public void listed(ServerList list) {
+    /** Discovery has told of endpoints. */
+    void listed(ServerList list) {
         tellList(list.full() ? ListKind.FULL : ListKind.DELTA, list);
     }
 
@@ -283,15 +281,6 @@
         raise(null, now -> module.onServers(now, kind, list.servers()));
     }
 
-    @Override
-    public void failed() {
-        if (settings.asksForList()) {
-            raise(null, now -> module.onServers(now, ListKind.FAILED, List.of()));
-        } else {
-            after(AGENT_PAUSE_MS, watch);
-        }
-    }
-
     private void raise(Open open, Event event) {
         events.add(new Queued(open, event));
         if (telling) {
--- a/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -147,22 +147,14 @@
         int half = half(0);
         endpoints = new EndpointPool(loop, clock, complaints,
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
-        discovery = new DiscoveryClient(loop, config.discovery(), config.names(), complaints,
-            config.seed());
+        discovery = new DiscoveryClient(loop, config.discovery(), config.names(),
+            !config.settings().asksForList(), complaints, config.seed());
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
         fleet = config.fleet() == null ? null : new FleetPart(config, exchange, complaints);
-        discovery.listen(new DiscoveryClient.Listener() {
-            @Override
-            public void listed(ServerList list) {
-                exchange.listed(list);
-                informed = true;
-                acceptIfReady();
-            }
-
-            @Override
-            public void failed() {
-                exchange.failed();
-            }
+        discovery.listen(list -> {
+            exchange.listed(list);
+            informed = true;
+            acceptIfReady();
         }, config.known().version());
         maintenance = new Maintenance(exchange, complaints, inherited.folder());
         maintenance.restore();
@@ -291,7 +283,7 @@
             }, (long) Math.ceil(longest(dropped)), TimeUnit.MILLISECONDS);
         }
         endpoints.use(settings.limits().connectTimeoutMs(), next.idleCloseMs());
-        discovery.move(next.discovery(), next.names());
+        discovery.move(next.discovery(), next.names(), !settings.asksForList());
         complaints.say("a new configuration is taken up, with the classes " + String.join(", ", names));
     }
 
--- a/sidecar/src/test/java/mapleroute/sidecar/Rig.java
+++ b/sidecar/src/test/java/mapleroute/sidecar/Rig.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 
 /** A sidecar before fake endpoints, with a fake discovery; all on loopback. */
@@ -29,6 +30,8 @@
     int aimMs = 9000;
     int deadlineMs = 9000;
     int memoryMb = 192;
+    int windowMs = 9000;
+    boolean cancel = true;
     Path folder;
     ServerSocketChannel listener;
     private int requests;
@@ -64,13 +67,13 @@
             {"name":"read","effect":"repeatable","group":"all","hard-limit-ms":%d,"slo-ms":%d,"worth":1},
             {"name":"order","effect":"once","group":"all","hard-limit-ms":%d,"slo-ms":%d,"worth":1},
             {"name":"save","effect":"by_key","group":"all","hard-limit-ms":%d,"slo-ms":%d,"worth":1,
-            "memory-span-ms":9000}],
-            "limits":{"cancel":true,"dial-timeout-ms":2000,"idle-close-ms":%d,"max-retry-after-ms":2000,
+            "memory-span-ms":%d}],
+            "limits":{"cancel":%b,"dial-timeout-ms":2000,"idle-close-ms":%d,"max-retry-after-ms":2000,
             "parallel-tries":true,"retry-after":false,"try-limit":3},
             "rules":{"cold-share":0.5,"cold-ms":1000,"tip-multiple":3,"fall-ms":1000,"drain-grace-ms":500,
             "ask-within-ms":%d}}}""".formatted(discovery.address(), memoryMb, sockets, list(1, true,
                 lines.toArray(String[]::new)), deadlineMs, aimMs, deadlineMs, aimMs, deadlineMs, aimMs,
-                idleCloseMs, askWithinMs);
+                windowMs, cancel, idleCloseMs, askWithinMs);
     }
 
     Rig start() throws IOException {
@@ -98,6 +101,31 @@
         }
     }
 
+    /**
+     * Holds the sidecar's only thread until what is returned is closed. What comes meanwhile waits in the
+     * system and is then met in the order in which it came: so a test forces an order of events.
+     */
+    Held hold() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        sidecar.loop().execute(() -> {
+            held.countDown();
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        return release::countDown;
+    }
+
+    /** The sidecar's thread, held. */
+    interface Held extends AutoCloseable {
+        @Override
+        void close();
+    }
+
     Wire client() throws IOException {
         return Wire.to(sidecar.address());
     }
