Look at an idle connection to a server before it carries the next request

(2) A whole stray answer that had come but was not read yet when the next request was written was served as that request's answer. (3) An end or a reset not read yet made that request a reset, which an unsafe one does not survive. (4) A write that failed closed the connection, and an answer without a length that had begun then counted as whole.

Change: bytes are seen before the decoder, and end a connection that has no request out; one with more than its answer is not kept; before an idle connection is used the system is asked once for what has come; a 200 before the request's last byte is no answer; a failed write ends the answer as broken. What comes after that one look cannot be told from an answer.

Tests hold the sidecar's thread, so that the request is met first and the stray bytes lie unread: on "stray" was served for "served" (NarrowMomentsTest.whatCameBeforeTheRequestIsNotItsAnswer).

--- a/sidecar/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -209,7 +210,7 @@
         Attempt attempt = new Attempt(request, upload, ending);
         Endpoint endpoint = endpoints.get(id);
         closeStale();
-        Connection connection = endpoint == null ? null : endpoint.idle.peekLast();
+        Connection connection = endpoint == null ? null : quietIdle(endpoint);
         if (connection != null) {
             connection.write(attempt);
         } else if (endpoint == null) {
@@ -255,6 +256,19 @@
 
         @Override
         protected HttpMessage createMessage(String[] statusLine) {
+    /**
+     * An idle connection to an endpoint that is as it was left, or null. What has come on one since then, or
+     * its end, may not have been read yet: it is looked for now, as it must not be taken for an answer.
+     */
+    private static Connection quietIdle(Endpoint endpoint) {
+        Connection last = endpoint.idle.peekLast();
+        while (last != null && !last.isQuiet()) {
+            last.close();
+            last = endpoint.idle.peekLast();
+        }
+        return last;
+    }
+
             HttpMessage made = super.createMessage(statusLine);
             if (made.protocolVersion().majorVersion() != 1 || !STATUS.matcher(statusLine[1]).matches()) {
                 throw new IllegalArgumentException("no HTTP/1 status line: " + String.join(" ", statusLine));
@@ -286,6 +300,11 @@
         private boolean failed;
 
         Connection(Endpoint endpoint) {
+        /** Whether more has come than belongs to the messages read so far. */
+        boolean holdsMore() {
+            return actualReadableBytes() > 0;
+        }
+
             this.endpoint = endpoint;
             generation = endpoint.generation;
         }
@@ -308,13 +327,17 @@
                 } else {
                     send(first);
                 }
+        private final StrictDecoder decoder = new StrictDecoder();
             });
         }
+        /** What has come is being read just now, in the caller's own call. */
+        private boolean reading;
 
         @Override
         public void channelRegistered(ChannelHandlerContext ctx) {
             ctx.pipeline().addBefore(ctx.name(), null, new HttpRequestEncoder());
-            ctx.pipeline().addBefore(ctx.name(), null, new StrictDecoder());
+            ctx.pipeline().addBefore(ctx.name(), null, new Arrivals());
+            ctx.pipeline().addBefore(ctx.name(), null, decoder);
             ctx.fireChannelRegistered();
         }
 
@@ -338,16 +361,14 @@
         private void lastByteGoes(ChannelFuture writing, Attempt sent) {
             writing.addListener(written -> {
                 sent.written = written.isSuccess();
-                if (!written.isSuccess()) {
-                    channel.close();
-                }
+                closeIfFailed(written);
             });
         }
 
         @Override
         public void part(ByteBuf data) {
             Body upload = attempt.upload;
-            channel.writeAndFlush(new DefaultHttpContent(data));
+            channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::closeIfFailed);
             upload.wants(channel.isWritable());
         }
 
@@ -377,8 +398,45 @@
         void close() {
             failed = true;
             endpoint.idle.remove(this);
+        /** The library has closed it then, and what had come by that time is no whole answer. */
+        private void closeIfFailed(Future<?> written) {
+            if (!written.isSuccess()) {
+                close();
+            }
+        }
+
             idle.remove(this);
-            channel.close();
+            close();
+        }
+
+        /** Whether it is as it was left, with nothing more come and no end. */
+        private boolean isQuiet() {
+            if (!reading) {
+                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+            }
+            return channel.isActive() && !failed;
+        }
+
+        /** Sees what comes before it is read: the beginning of an answer alone would show nowhere else. */
+        private final class Arrivals extends ChannelInboundHandlerAdapter {
+
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                if (attempt == null || failed) {
+                    // Nobody has asked for this, or what came before cannot be read: it is out of step.
+                    ReferenceCountUtil.release(bytes);
+                    Connection.this.close();
+                } else {
+                    reading = true;
+                    ctx.fireChannelRead(bytes);
+                }
+            }
+
+            @Override
+            public void channelReadComplete(ChannelHandlerContext ctx) {
+                reading = false;
+                ctx.fireChannelReadComplete();
+            }
         }
 
         /** The connection is no more; the attempt on it ends by whether its last byte was written. */
@@ -420,9 +478,12 @@
                 if (message instanceof HttpResponse response) {
                     head = response;
                     body = Unpooled.buffer();
-                    if (response.decoderResult().isFailure() || isCoded(response)
+                    // An endpoint begins a request when its last byte has come: before, it served nothing.
+                    boolean early = response.status().code() == 200 && !attempt.written;
+                    if (early || response.decoderResult().isFailure() || isCoded(response)
                             || HttpUtil.getContentLength(response, 0L) > Body.MOST) {
-                        complaints.log("unreadable answer", response.decoderResult());
+                        complaints.log("unreadable answer", early ? "it came before all of its request"
+                            : response.decoderResult());
                         close();
                         return;
                     }
@@ -493,7 +554,8 @@
                 : new Answer(head.headers().get(HttpHeaderNames.CONTENT_TYPE), ByteBufUtil.getBytes(body),
                     null, 0);
             boolean kept = HttpUtil.isKeepAlive(head) && attempt.written && channel.isActive()
-                && generation == endpoint.generation && (body == null || body.readableBytes() <= Body.WHOLE);
+                && !decoder.holdsMore() && generation == endpoint.generation
+                && (body == null || body.readableBytes() <= Body.WHOLE);
             Body passed = download;
             download = null;
             dropBody();
--- a/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -353,6 +353,11 @@
 
     /** Where clients connect. */
     InetSocketAddress address() {
+    /** The one thread that touches any of its parts. */
+    EventLoop loop() {
+        return loop;
+    }
+
         return address;
     }
 
--- a/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
+++ b/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
@@ -40,6 +40,68 @@
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    // ---- idle connections to endpoints ----
+
+    /** Guards against an answer that begins with what was left on the connection by the one before. */
+    @ParameterizedTest
+    @ValueSource(strings = {"H", "HTTP/1.1 200 O", STRAY, "\r\n"})
+    void aConnectionWithMoreThanItsAnswerIsNotUsedAgain(String more) throws Exception {
+        start(new Fake((wire, request) -> wire.send(whole("served") + more)));
+        for (int i = 0; i < 3; i++) {
+            assertEquals("served", rig.ask("order", DEADLINE_MS).body());
+        }
+        assertEquals(3, rig.endpoints.get(0).connections.get());
+    }
+
+    /** Guards against half a line that waits on an idle connection for the next answer. */
+    @Test
+    void halfALineOnAnIdleConnectionEndsIt() throws Exception {
+        CompletableFuture<Wire> first = new CompletableFuture<>();
+        rig = new Rig(new Fake((wire, request) -> {
+            Fake.answer(wire, 200, "", "served");
+            first.complete(wire);
+        }));
+        // It would be closed as idle after minutes only.
+        rig.idleCloseMs = 600_000;
+        rig.start();
+        assertEquals("served", rig.ask("order", DEADLINE_MS).body());
+        first.get().send("HTTP/1.1 20");
+        Rig.await("the connection is closed", () -> rig.endpoints.get(0).open.get() == 0);
+        assertEquals("served", rig.ask("order", DEADLINE_MS).body());
+    }
+
+    /** Guards against what came on an idle connection, or its end, and is read after the next request. */
+    @ParameterizedTest
+    @ValueSource(strings = {STRAY, "HTTP/1.1 200 O", "end", "reset"})
+    void whatCameBeforeTheRequestIsNotItsAnswer(String what) throws Exception {
+        CompletableFuture<Wire> first = new CompletableFuture<>();
+        // A thread that waits in a read would put off what the system makes of a close.
+        CountDownLatch over = new CountDownLatch(1);
+        start(new Fake((wire, request) -> {
+            Fake.answer(wire, 200, "", "served");
+            first.complete(wire);
+            over.await();
+        }));
+        try (Wire client = rig.client()) {
+            assertEquals("served", client.send(rig.request("order", DEADLINE_MS)).read().body());
+            Wire endpoint = first.get();
+            try (Rig.Held held = rig.hold()) {
+                // The sidecar meets the request first, and the connection looks idle to it.
+                client.send(rig.request("order", DEADLINE_MS));
+                switch (what) {
+                    case "end" -> endpoint.close();
+                    case "reset" -> endpoint.reset();
+                    default -> endpoint.send(what);
+                }
+            }
+            Wire.Message answer = client.read();
+            over.countDown();
+            assertEquals(200, answer.status());
+            assertEquals("served", answer.body());
+            assertEquals(2, rig.endpoints.get(0).connections.get());
+        }
+    }
+
     // ---- discovery ----
 
     /** A discovery that answers calls with what the test puts in, one after another; nothing is a 503. */
