Let nothing begin on a connection that comes up late: drained, past its window, client gone

One cause, by reading EndpointPool.Connection.open and Exchange: what was decided before a connect was not asked again when it came up, up to the connect's time-out later (120 ms here, more for others). So an attempt began (1) at a server that its list or operators had taken out meanwhile; (2) after the window of its key, which Decide checks when it decides; the last byte of a large body could come later still; (3) where the site lets nothing be called off, for a client that had left before. With (3) an attempt whose body was still to come was never ended: its time-out runs only while the client gives.

Change: when a connection comes up, and before a body's last byte, the pool asks whether the endpoint still takes something new and whether the time is over, and else ends the attempt as one that could not connect. What has not gone out whole ends with its client, whatever may be called off. A request keeps the class under which it came. The window's share is told by RequestClass.repeatableForMs alone.

Tests: a server whose queue is full lets a connect come up a second late.

--- a/decisions/src/main/java/mapleroute/Contract.java
+++ b/decisions/src/main/java/mapleroute/Contract.java
@@ -59,6 +59,14 @@
                 positive("classes[].window", windowMs);
             }
         }
+
+        /**
+         * For so long after the first attempt that may have run, in ms, a keyed request may be sent again: a
+         * tenth of the window is left for its way, and for clocks.
+         */
+        public double repeatableForMs() {
+            return windowMs * 0.9;
+        }
     }
 
     /** A tenant: its allowance a second over all balancers, and its share of the service. */
--- a/decisions/src/main/java/mapleroute/Decide.java
+++ b/decisions/src/main/java/mapleroute/Decide.java
@@ -757,7 +757,7 @@
                 || left < call.learned.typicalMs / 2 || retriesLeft < 1
                 || call.mayHaveRun != null && (call.kind.effect() == Effect.ONCE
                 || call.kind.effect() == Effect.BY_KEY
-                && now - call.mayHaveRun.sentAt() >= call.kind.windowMs() * 0.9)) {
+                && now - call.mayHaveRun.sentAt() >= call.kind.repeatableForMs())) {
             return false;
         }
         retriesLeft--;
--- a/sidecar/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -71,17 +71,25 @@
         private final HttpRequest request;
         /** Its body where that is passed on as it comes, else null. */
         private final Body upload;
+        /** After this its last byte must not go out any more. */
+        private final double notAfter;
         private Ending ending;
         private Connection connection;
         /** The last byte has been handed to the network: from here on the request may have run. */
         private boolean written;
 
-        private Attempt(HttpRequest request, Body upload, Ending ending) {
+        private Attempt(HttpRequest request, Body upload, double notAfter, Ending ending) {
             this.request = request;
             this.upload = upload;
+            this.notAfter = notAfter;
             this.ending = ending;
         }
 
+        /** Whether all of it has gone out, so that it may run. */
+        boolean isWritten() {
+            return written;
+        }
+
         /** Stops waiting and closes the connection, which tells the endpoint; true if it may have run. */
         boolean giveUp() {
             ending = null;
@@ -107,12 +115,19 @@
     }
 
     private static final class Endpoint {
+        final String id;
         InetSocketAddress address;
         double startedMs;
         /** The most recently used last. */
         final Deque<Connection> idle = new ArrayDeque<>();
         /** Raised when the endpoint's connections are of no more use; older ones are not kept. */
         int generation;
+        /** Its list wants nothing new to go there. */
+        boolean drains;
+
+        Endpoint(String id) {
+            this.id = id;
+        }
     }
 
     private final Clock clock;
@@ -122,6 +137,8 @@
     private double idleMs;
     private int most;
     private final Map<String, Endpoint> endpoints = new HashMap<>();
+    /** Those that operators want nothing new to go to, whether a list names them or not. */
+    private final Set<String> barred = new HashSet<>();
     /** All idle connections, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
     private Future<?> sweeping;
@@ -174,13 +191,23 @@
                 retire(endpoints.remove(id));
                 continue;
             }
-            Endpoint endpoint = endpoints.computeIfAbsent(id, k -> new Endpoint());
+            Endpoint endpoint = endpoints.computeIfAbsent(id, Endpoint::new);
             if (!entry.address().equals(endpoint.address)
                     || entry.server().startedMs() != endpoint.startedMs) {
                 retire(endpoint);
             }
             endpoint.address = entry.address();
             endpoint.startedMs = entry.server().startedMs();
+            endpoint.drains = entry.server().state() != State.READY;
+        }
+    }
+
+    /** Operators want nothing new to go to an endpoint, or allow it again. */
+    void bar(String id, boolean out) {
+        if (out) {
+            barred.add(id);
+        } else {
+            barred.remove(id);
         }
     }
 
@@ -205,9 +232,15 @@
         }
     }
 
-    /** Sends a request once, on an idle connection or a new one. It may end before this returns. */
-    Attempt send(String id, HttpRequest request, Body upload, Ending ending) {
-        Attempt attempt = new Attempt(request, upload, ending);
+    /**
+     * Sends a request once, on an idle connection or a new one. It may end before this returns. A connection
+     * that comes up too late, when nothing new may go there or the time for it is over, ends the attempt as
+     * one that could not connect.
+     *
+     * @param notAfter when its last byte may go out at the latest, on the sidecar's clock
+     */
+    Attempt send(String id, HttpRequest request, Body upload, double notAfter, Ending ending) {
+        Attempt attempt = new Attempt(request, upload, notAfter, ending);
         Endpoint endpoint = endpoints.get(id);
         closeStale();
         Connection connection = endpoint == null ? null : quietIdle(endpoint);
@@ -223,6 +256,19 @@
         return attempt;
     }
 
+    /**
+     * An idle connection to an endpoint that is as it was left, or null. What has come on one since then, or
+     * its end, may not have been read yet: it is looked for now, as it must not be taken for an answer.
+     */
+    private static Connection quietIdle(Endpoint endpoint) {
+        Connection last = endpoint.idle.peekLast();
+        while (last != null && !last.isQuiet()) {
+            last.close();
+            last = endpoint.idle.peekLast();
+        }
+        return last;
+    }
+
     private void refuse(Attempt attempt, String why) {
         complaints.log("no connection", why);
         ReferenceCountUtil.release(attempt.request);
@@ -254,21 +300,13 @@
     static final class StrictDecoder extends HttpResponseDecoder {
         private static final Pattern STATUS = Pattern.compile("[1-9][0-9]{2}");
 
-        @Override
-        protected HttpMessage createMessage(String[] statusLine) {
-    /**
-     * An idle connection to an endpoint that is as it was left, or null. What has come on one since then, or
-     * its end, may not have been read yet: it is looked for now, as it must not be taken for an answer.
-     */
-    private static Connection quietIdle(Endpoint endpoint) {
-        Connection last = endpoint.idle.peekLast();
-        while (last != null && !last.isQuiet()) {
-            last.close();
-            last = endpoint.idle.peekLast();
+        /** Whether more has come than belongs to the messages read so far. */
+        boolean holdsMore() {
+            return actualReadableBytes() > 0;
         }
-        return last;
-    }
 
+        @Override
+        protected HttpMessage createMessage(String[] statusLine) {
             HttpMessage made = super.createMessage(statusLine);
             if (made.protocolVersion().majorVersion() != 1 || !STATUS.matcher(statusLine[1]).matches()) {
                 throw new IllegalArgumentException("no HTTP/1 status line: " + String.join(" ", statusLine));
@@ -289,8 +327,11 @@
     private final class Connection extends ChannelInboundHandlerAdapter implements Body.Sink {
         private final Endpoint endpoint;
         private final int generation;
+        private final StrictDecoder decoder = new StrictDecoder();
         private Channel channel;
         private Attempt attempt;
+        /** What has come is being read just now, in the caller's own call. */
+        private boolean reading;
         private double idleSince;
         private HttpResponse head;
         private ByteBuf body;
@@ -300,11 +341,6 @@
         private boolean failed;
 
         Connection(Endpoint endpoint) {
-        /** Whether more has come than belongs to the messages read so far. */
-        boolean holdsMore() {
-            return actualReadableBytes() > 0;
-        }
-
             this.endpoint = endpoint;
             generation = endpoint.generation;
         }
@@ -317,21 +353,18 @@
             channel = connecting.channel();
             channel.closeFuture().addListener(closed -> open--);
             connecting.addListener(connected -> {
-                if (!connected.isSuccess()) {
+                // Meanwhile the attempt may have been given up, or nothing new may go there any more.
+                if (connected.isSuccess() && first.ending != null && clock.now() <= first.notAfter
+                        && generation == endpoint.generation && !endpoint.drains
+                        && !barred.contains(endpoint.id)) {
+                    send(first);
+                } else {
                     ReferenceCountUtil.release(first.request);
-                    channel.close();
+                    close();
                     lost();
-                } else if (first.ending == null) {
-                    ReferenceCountUtil.release(first.request);
-                    channel.close();
-                } else {
-                    send(first);
                 }
-        private final StrictDecoder decoder = new StrictDecoder();
             });
         }
-        /** What has come is being read just now, in the caller's own call. */
-        private boolean reading;
 
         @Override
         public void channelRegistered(ChannelHandlerContext ctx) {
@@ -365,6 +398,13 @@
             });
         }
 
+        /** The library has closed it then, and what had come by that time is no whole answer. */
+        private void closeIfFailed(Future<?> written) {
+            if (!written.isSuccess()) {
+                close();
+            }
+        }
+
         @Override
         public void part(ByteBuf data) {
             Body upload = attempt.upload;
@@ -374,38 +414,15 @@
 
         @Override
         public void end() {
-            lastByteGoes(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), attempt);
-        }
-
-        @Override
-        public void broken() {
-            channel.close();
-        }
-
-        @Override
-        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            if (attempt != null && attempt.upload != null && !attempt.written) {
-                attempt.upload.wants(channel.isWritable());
-            }
-        }
-
-        private void leave(Attempt left) {
-            if (left.upload != null) {
-                left.upload.detach(this);
-            }
-        }
-
-        void close() {
-            failed = true;
-            endpoint.idle.remove(this);
-        /** The library has closed it then, and what had come by that time is no whole answer. */
-        private void closeIfFailed(Future<?> written) {
-            if (!written.isSuccess()) {
+            if (clock.now() > attempt.notAfter) {
                 close();
+            } else {
+                lastByteGoes(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), attempt);
             }
         }
 
-            idle.remove(this);
+        @Override
+        public void broken() {
             close();
         }
 
@@ -439,6 +456,26 @@
             }
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (attempt != null && attempt.upload != null && !attempt.written) {
+                attempt.upload.wants(channel.isWritable());
+            }
+        }
+
+        private void leave(Attempt left) {
+            if (left.upload != null) {
+                left.upload.detach(this);
+            }
+        }
+
+        void close() {
+            failed = true;
+            endpoint.idle.remove(this);
+            idle.remove(this);
+            channel.close();
+        }
+
         /** The connection is no more; the attempt on it ends by whether its last byte was written. */
         private void lost() {
             endpoint.idle.remove(this);
--- a/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
@@ -19,12 +19,14 @@
 import java.util.concurrent.TimeUnit;
 import mapleroute.Contract;
 import mapleroute.Contract.Actions;
+import mapleroute.Contract.Effect;
 import mapleroute.Contract.Finished;
 import mapleroute.Contract.Guidance;
 import mapleroute.Contract.ListKind;
 import mapleroute.Contract.Load;
 import mapleroute.Contract.Outcome;
 import mapleroute.Contract.Request;
+import mapleroute.Contract.RequestClass;
 import mapleroute.Contract.Settings;
 import mapleroute.Decide;
 
@@ -82,6 +84,8 @@
 
     private static final class Open {
         final Request request;
+        /** Its class, by the settings under which it came. */
+        final RequestClass kind;
         final Message message;
         final Client client;
         final double takenAt;
@@ -98,8 +102,10 @@
         /** Attempts whose end the module has not been told yet. */
         int out;
 
-        Open(Request request, Message message, Client client, double takenAt, int mostTries) {
+        Open(Request request, RequestClass kind, Message message, Client client, double takenAt,
+                int mostTries) {
             this.request = request;
+            this.kind = kind;
             this.message = message;
             this.client = client;
             this.takenAt = takenAt;
@@ -114,6 +120,13 @@
                 : (upload.isEnded() ? upload.movedAt() : now) + budgetMs;
         }
 
+        /** When its last byte may go out at the latest, by the window of a key that may have run. */
+        double repeatableUntil() {
+            return kind.effect() != Effect.BY_KEY ? Double.POSITIVE_INFINITY
+                : tries.stream().filter(made -> made.ended && !made.outcome.neverRan()).findFirst()
+                    .map(made -> made.sentAt + kind.repeatableForMs()).orElse(Double.POSITIVE_INFINITY);
+        }
+
         /** When its last byte, or the last so far, has come or gone on. */
         double movedAt() {
             return message.upload() == null ? 0 : message.upload().movedAt();
@@ -210,6 +223,7 @@
 
     /** Takes an endpoint out of service or back; it holds when this returns. */
     void maintain(String endpoint, boolean out) {
+        endpoints.bar(endpoint, out);
         raise(null, now -> module.onMaintenance(now, endpoint, out));
     }
 
@@ -229,7 +243,8 @@
     // ---- what happens ----
 
     void request(Request request, Message message, Client client) {
-        Open open = new Open(request, message, client, clock.now(), settings.limits().tries());
+        Open open = new Open(request, settings.classes().get(request.requestClass()), message, client,
+            clock.now(), settings.limits().tries());
         table.put(request.id(), open);
         if (witness != null) {
             witness.called(request.tenant());
@@ -243,6 +258,9 @@
         Open open = table.get(id);
         if (open != null && !open.concluded) {
             conclude(open, "left by its client");
+            // What has not gone out whole has not begun and must not, whatever the site lets be called off.
+            open.tries.stream().filter(made -> !made.ended && !made.attempt.isWritten())
+                .forEach(made -> giveUp(open, made, Outcome.CANCELED));
             raise(open, now -> module.onClientGone(now, id));
         } else if (open != null) {
             open.tries.stream().filter(made -> made.streaming)
@@ -336,7 +354,7 @@
             made.timeout = after(wait, () -> timeOut(open, made, wait));
             try {
                 made.attempt = endpoints.send(server, message(open.message, wait), upload,
-                    new EndpointPool.Ending() {
+                    open.repeatableUntil(), new EndpointPool.Ending() {
                         @Override
                         public void started(EndpointPool.Answer answer) {
                             stream(open, made, answer);
@@ -433,10 +451,7 @@
         made.outcome = outcome;
         made.tookMs = took;
         if (witness != null) {
-            // Its class may be gone by new settings: then there is nothing to hold it against.
-            int kind = open.request.requestClass();
-            witness.ended(made.server, outcome, kind < settings.classes().size()
-                && took > settings.classes().get(kind).aimMs());
+            witness.ended(made.server, outcome, took > open.kind.aimMs());
         }
         raise(open, now -> {
             open.out--;
--- a/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -351,13 +351,13 @@
         }
     }
 
-    /** Where clients connect. */
-    InetSocketAddress address() {
     /** The one thread that touches any of its parts. */
     EventLoop loop() {
         return loop;
     }
 
+    /** Where clients connect. */
+    InetSocketAddress address() {
         return address;
     }
 
--- /dev/null
+++ b/sidecar/src/test/java/mapleroute/sidecar/Late.java
@@ -0,0 +1,94 @@
+package mapleroute.sidecar;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/**
+ * A server whose connections come up late: until {@link #open} its queue is full, and the system drops the
+ * first packet of each further connect, which the other side sends again a second later.
+ */
+final class Late implements Closeable {
+
+    private final ServerSocket listener;
+    private final List<Socket> filling = new ArrayList<>();
+    final List<String> requests = new CopyOnWriteArrayList<>();
+
+    Late() throws IOException {
+        listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+        boolean full = false;
+        while (!full) {
+            Socket next = new Socket();
+            try {
+                next.connect(new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort()), 200);
+                filling.add(next);
+            } catch (java.net.SocketTimeoutException e) {
+                next.close();
+                full = true;
+            }
+        }
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    /** Whether somebody's connect is under way, its first packet dropped: state 2 of the system's tables. */
+    boolean isBeingConnected() {
+        String to = String.format(Locale.ROOT, "0100007F:%04X 02 ", listener.getLocalPort());
+        try {
+            return Files.readString(Path.of("/proc/self/net/tcp")).contains(to)
+                || Files.readString(Path.of("/proc/self/net/tcp6")).contains(to);
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    /** From now on connects succeed, once their next packet comes; requests are noted and served. */
+    void open() {
+        Thread accepting = new Thread(() -> {
+            try {
+                while (true) {
+                    Wire wire = new Wire(listener.accept());
+                    Thread serving = new Thread(() -> serve(wire), "late");
+                    serving.setDaemon(true);
+                    serving.start();
+                }
+            } catch (IOException e) {
+                // The test is over.
+                return;
+            }
+        }, "late");
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    private void serve(Wire wire) {
+        try (wire) {
+            while (true) {
+                requests.add(wire.read().line());
+                Fake.answer(wire, 200, "", "late");
+            }
+        } catch (IOException e) {
+            // The connection is over.
+            return;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket socket : filling) {
+            socket.close();
+        }
+        listener.close();
+    }
+}
--- a/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
+++ b/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
@@ -102,6 +102,107 @@
         }
     }
 
+    /** Guards against a connection that comes up once nothing new may go to its endpoint any more. */
+    @ParameterizedTest
+    @ValueSource(strings = {"terminating", "terminated", "maintenance"})
+    void aConnectionThatComesUpTooLateCarriesNothing(String why) throws Exception {
+        try (Late late = new Late()) {
+            rig = new Rig();
+            rig.askWithinMs = 20;
+            LinkedBlockingQueue<String> answers = discovering();
+            rig.start();
+            answers.add(Rig.list(2, true, Rig.line(0, late.address(), "in_service", 0)));
+            Rig.await("it is known", () -> rig.logged().contains("told version 2"));
+            try (Wire client = rig.client()) {
+                client.send(rig.request("order", 3000));
+                Rig.await("the connect is under way", late::isBeingConnected);
+                if (why.equals("maintenance")) {
+                    assertEquals("done", rig.call("maint-on s0\n").trim());
+                } else {
+                    answers.add(Rig.list(3, false, Rig.line(0, late.address(), why, 0)));
+                    Rig.await("it is told", () -> rig.logged().contains("told version 3"));
+                }
+                late.open();
+                assertEquals(503, client.read().status(), "it surely never ran");
+            }
+            assertEquals(List.of(), late.requests);
+        }
+    }
+
+    // ---- retries ----
+
+    /** Guards against a repeat that is decided within a key's window and written after it. */
+    @Test
+    void aRepeatIsNotWrittenAfterItsWindow() throws Exception {
+        try (Late late = new Late()) {
+            Fake resetting = new Fake((wire, request) -> wire.reset());
+            rig = new Rig(resetting);
+            rig.windowMs = 600;
+            rig.askWithinMs = 20;
+            LinkedBlockingQueue<String> answers = discovering();
+            resetting.script = (wire, request) -> {
+                answers.add(Rig.list(2, false, Rig.line(1, late.address(), "in_service", 0)));
+                Rig.await("the other one is known", () -> rig.logged().contains("told version 2"));
+                wire.reset();
+            };
+            rig.start();
+            try (Wire client = rig.client()) {
+                client.send(rig.request("save", DEADLINE_MS));
+                Rig.await("the repeat's connect is under way", late::isBeingConnected);
+                late.open();
+                // The key is of all: whoever remembers it, a refusal is harmless.
+                assertEquals(503, client.read().status());
+            }
+            assertEquals(List.of(), late.requests);
+        }
+    }
+
+
+
+    /** Guards against a connect that comes up late and carries the request of a client that has gone. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aConnectEndsWithItsClient(boolean cancel) throws Exception {
+        try (Late late = new Late()) {
+            rig = new Rig();
+            rig.askWithinMs = 20;
+            rig.cancel = cancel;
+            LinkedBlockingQueue<String> answers = discovering();
+            rig.start();
+            answers.add(Rig.list(2, true, Rig.line(0, late.address(), "in_service", 0)));
+            Rig.await("it is known", () -> rig.logged().contains("told version 2"));
+            try (Wire client = rig.client()) {
+                client.send(rig.request("order", DEADLINE_MS));
+                Rig.await("the connect is under way", late::isBeingConnected);
+            }
+            Rig.await("the request is over", () -> rig.logged().contains("left by its client"));
+            assertTrue(rig.logged().contains("s0 CANCELED"), rig.logged());
+            assertFalse(late.isBeingConnected());
+        }
+    }
+
+    /** Guards against a large body that is waited for once its client is gone. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aBodyThatIsStillToComeEndsWithItsClient(boolean cancel) throws Exception {
+        Fake endpoint = new Fake((wire, request) -> wire.awaitEnd()) {
+            @Override
+            void serve(Wire wire) throws Exception {
+                wire.awaitEnd();
+            }
+        };
+        rig = new Rig(endpoint);
+        rig.cancel = cancel;
+        rig.start();
+        try (Wire client = rig.client()) {
+            String request = rig.request("order", DEADLINE_MS);
+            client.send(request.replace("Content-Length: 5", "Content-Length: 200000") + "x".repeat(100_000));
+            Rig.await("it goes on", () -> endpoint.open.get() == 1);
+        }
+        Rig.await("the attempt is over", () -> endpoint.open.get() == 0);
+        Rig.await("the request is over", () -> rig.logged().contains("left by its client"));
+    }
+
     // ---- discovery ----
 
     /** A discovery that answers calls with what the test puts in, one after another; nothing is a 503. */
--- a/sidecar/src/test/java/mapleroute/sidecar/Wire.java
+++ b/sidecar/src/test/java/mapleroute/sidecar/Wire.java
@@ -8,9 +8,12 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** One end of an HTTP connection, spoken byte by byte, so that tests can also speak it badly. */
 final class Wire implements Closeable {
@@ -122,6 +125,17 @@
         }
     }
 
+    /**
+     * Whether the other side has ended its sending, and not reset the connection: state 8 of the system's
+     * tables. What is read tells the two apart only where nothing was left to read.
+     */
+    boolean isEndedInOrder() throws IOException {
+        Pattern ended = Pattern.compile(String.format(Locale.ROOT, ":%04X [0-9A-F]+:%04X 08 ",
+            socket.getLocalPort(), socket.getPort()));
+        return ended.matcher(Files.readString(Path.of("/proc/self/net/tcp"))).find()
+            || ended.matcher(Files.readString(Path.of("/proc/self/net/tcp6"))).find();
+    }
+
     /** Closes with a reset. */
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
