End clients' connections so that nothing is lost with them, and see their ends in time

Causes, by reading Frontend: (1) a connection was closed at once behind its last answer, or when idle; over bytes that had come meanwhile that is a reset, which overtakes an answer on its way. (2) A drain closed connections on which a request had half come. (3) A fresh connection without a byte got 408 after 2.6 s, which a client takes for the answer to a request that crosses it. (4) One read a turn: a request and its client's end behind it were met in two turns, and the request was sent on in between, however long both had lain there (a busy sidecar, a full listener). (6) The reserve of descriptors: both halves, 48 more clients and 15 accepted in one turn left 17 of 80 for what needs about 40.

Change: lingering close: end of sending, then what still comes is dropped for 0.5 s and 64 KiB at most, then close. Requests that have begun to come get their answer, the last. Silent fresh peers are closed without a word. All that is there is read before a request is sent on. 32 more clients, 4 accepted a turn, which leaves 45. Connections that linger do not count against the bound on requests.

--- a/sidecar/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Frontend.java
@@ -6,12 +6,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -32,6 +32,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
@@ -61,7 +62,7 @@
     /** Requests that a client may send ahead of their answers on one connection. */
     private static final int MOST_AHEAD = 16;
     /** Connections above the bound that are still taken in, to refuse what they ask in good order. */
-    private static final int OVERFLOW = 48;
+    private static final int OVERFLOW = 32;
     private static final double OVERFLOW_COOL_DOWN_MS = 1000;
     /** A request may take so long, or its head may: after that its body has to come on at a pace. */
     private static final int FREE_MS = 2000;
@@ -73,6 +74,16 @@
     private static final int LEAST_PACE = 10 * 1024;
     /** For so long the rest of a body is still taken in after its request has had its answer. */
     private static final int REST_MS = 2000;
+    /**
+     * A connection that ends here stays open to what the peer still sends for so long and so much, and drops
+     * it: a close over unread bytes is a reset, which could overtake the last answer.
+     */
+    private static final int LINGER_MS = 500;
+    private static final int MOST_LINGERING = 64 * 1024;
+    /** A request, a second part of it, and the end behind them; large bodies come in their own time. */
+    private static final int READS_AT_ONCE = 4;
+    /** Connections accepted at once, which find out only then that there is no more room. */
+    private static final int ACCEPTED_AT_ONCE = 4;
     /** Headers that concern one connection only. */
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
         HttpHeaderNames.PROXY_CONNECTION, "keep-alive", HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
@@ -91,6 +102,8 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Those with no request in hand, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
+    /** Those of all connections that have ended here, and wait for their peers to end them too. */
+    private int lingering;
     /** What has come of bodies that are not whole yet. */
     private int heldInAll;
     private Channel listener;
@@ -156,8 +169,12 @@
 
     private ServerBootstrap bootstrap() {
         return new ServerBootstrap().group(loop)
+            .option(ChannelOption.RECVBUF_ALLOCATOR,
+                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
             .childOption(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Sidecar.READS)
+            // All that is there is read at once, so that a client's end is seen with its last request.
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                Sidecar.reads().respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE))
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Sidecar.WINDOW)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -167,8 +184,11 @@
                     accepted.pipeline().addLast(new ChannelInboundHandlerAdapter() {
                         @Override
                         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-                            connection.awaitRequest();
-                            ctx.fireChannelRead(bytes);
+                            if (connection.takesBytes((ByteBuf) bytes)) {
+                                ctx.fireChannelRead(bytes);
+                            } else {
+                                ReferenceCountUtil.release(bytes);
+                            }
                         }
                     }, new HttpServerCodec(), connection);
                 }
@@ -244,9 +264,8 @@
     /** From now on each answer is the last on its connection; those that wait for none are closed. */
     private void letGoIdle() {
         closing = true;
-        for (Connection connection : List.copyOf(idle)) {
-            connection.channel.close();
-        }
+        // Whose next request has begun to come gets its answer, which is the last, or an error in time.
+        List.copyOf(idle).stream().filter(connection -> !connection.coming).forEach(Connection::hangUp);
     }
 
     boolean isEmpty() {
@@ -254,8 +273,8 @@
     }
 
     private void mindRoom() {
-        if (connections.size() > most && !idle.isEmpty()) {
-            idle.iterator().next().channel.close();
+        if (connections.size() - lingering > most && !idle.isEmpty()) {
+            idle.iterator().next().hangUp();
         }
         boolean room = connections.size() < most + OVERFLOW;
         if (!room) {
@@ -265,7 +284,7 @@
     }
 
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
-        private final Channel channel;
+        private final SocketChannel channel;
         /** In the order of the requests, which is the order that HTTP asks answers to be in. */
         private final Deque<Reply> replies = new ArrayDeque<>();
         /** Runs until the head, then while the body is to come. */
@@ -284,11 +303,45 @@
         private int cameLately;
         /** No request is taken any more: an answer was the last, or will be. */
         private boolean ending;
+        /** Bytes of a request have come that is not whole yet. */
+        private boolean coming;
+        /** This side has ended it; what has come since then was dropped. */
+        private boolean hungUp;
+        private int dropped;
 
-        Connection(Channel channel) {
+        Connection(SocketChannel channel) {
             this.channel = channel;
         }
 
+        /** Whether what has come is to be read: on a connection that has ended here it is not. */
+        private boolean takesBytes(ByteBuf bytes) {
+            if (hungUp || ending && head == null && !discarding) {
+                dropped += bytes.readableBytes();
+                if (dropped > MOST_LINGERING) {
+                    channel.close();
+                }
+                return false;
+            }
+            coming = !ending;
+            awaitRequest();
+            return true;
+        }
+
+        /** Ends the connection once all that was written has gone out, and the peer has ended it too. */
+        private void hangUp() {
+            if (hungUp || !channel.isActive()) {
+                return;
+            }
+            hungUp = true;
+            ending = true;
+            lingering++;
+            idle.remove(this);
+            stopClock();
+            clocked = loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+            channel.shutdownOutput();
+            mindReading();
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             connections.add(this);
@@ -323,8 +376,10 @@
         }
 
         private void tooSlow() {
-            if (discarding) {
-                channel.close();
+            if (discarding || !coming) {
+                // It has had its answer, or has asked for nothing: there is nothing to say.
+                discarding = false;
+                hangUp();
                 return;
             }
             complaints.log("a peer sent no whole request in time", head == null ? "no head" : head.uri());
@@ -361,6 +416,7 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
             idle.remove(this);
+            lingering -= hungUp ? 1 : 0;
             stopClock();
             forgetIncoming();
             mindRoom();
@@ -428,6 +484,7 @@
                 // What is passed on may have failed at once, and the rest be of no use.
                 if (last && upload != null) {
                     Body whole = upload;
+                    coming = false;
                     stopClock();
                     forgetIncoming();
                     whole.end();
@@ -463,6 +520,7 @@
             reply.old = request.protocolVersion().equals(HttpVersion.HTTP_1_0);
             ending = !reply.keepAlive;
             Body body = null;
+            coming = !whole;
             if (whole) {
                 stopClock();
             } else {
@@ -476,7 +534,13 @@
             if (whole) {
                 forgetIncoming();
             }
-            dispatch(reply, request, small, body);
+            // Once all that has come is read: a client that has ended the connection behind it is gone.
+            Body large = body;
+            loop.execute(() -> {
+                if (channel.isActive() && !reply.isAnswered()) {
+                    dispatch(reply, request, small, large);
+                }
+            });
         }
 
         /** The answer has come before all of its request: the rest is taken in for a while, and dropped. */
@@ -492,16 +556,17 @@
         private void endDiscarding(boolean last) {
             if (last) {
                 discarding = false;
+                coming = false;
                 stopClock();
                 if (ending) {
-                    channel.close();
+                    hangUp();
                 }
             }
         }
 
         private void mindReading() {
-            channel.config().setAutoRead(discarding || replies.size() < MOST_AHEAD && channel.isWritable()
-                && (upload == null || upload.isWanted()));
+            channel.config().setAutoRead(hungUp || discarding || replies.size() < MOST_AHEAD
+                && channel.isWritable() && (upload == null || upload.isWanted()));
         }
 
         @Override
@@ -562,7 +627,7 @@
                 reply.plain(HttpResponseStatus.BAD_REQUEST, "not the form of its class", true);
             } else if (exchange.has(id)) {
                 reply.plain(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand", true);
-            } else if (connections.size() > most) {
+            } else if (connections.size() - lingering > most) {
                 reply.keepAlive = false;
                 reply.refused(OVERFLOW_COOL_DOWN_MS);
             } else {
@@ -623,7 +688,7 @@
                 }
                 replies.remove(reply);
             }
-            if (replies.isEmpty() && connections.contains(this)) {
+            if (replies.isEmpty() && connections.contains(this) && !ending) {
                 idle.add(this);
             }
             goAhead();
@@ -633,10 +698,12 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             // Clients come and go; only what is not the network's doing is worth a line.
-            if (!(cause instanceof java.io.IOException)) {
+            if (cause instanceof java.io.IOException) {
+                ctx.close();
+            } else if (!ending) {
                 complaints.bug("connection of a client", cause);
+                stopTaking(HttpResponseStatus.BAD_REQUEST, "malformed request");
             }
-            ctx.close();
         }
     }
 
@@ -725,7 +792,7 @@
             over = true;
             if ((last || closing && connection.replies.size() == 1) && !connection.discarding) {
                 connection.ending = true;
-                written.addListener(ChannelFutureListener.CLOSE);
+                written.addListener(sent -> connection.hangUp());
             }
         }
 
--- a/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
+++ b/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
@@ -157,7 +157,23 @@
         }
     }
 
+    // ---- clients that go away ----
 
+    /** Guards against a request that is sent on though its client's end has come with it. */
+    @Test
+    void aRequestWhoseClientIsGoneAlreadyIsNotSentOn() throws Exception {
+        start(Fake.answering(200, "", "served"));
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        try (Rig.Held held = rig.hold()) {
+            for (int i = 0; i < 5; i++) {
+                try (Wire gone = rig.client()) {
+                    gone.send(rig.request("order", DEADLINE_MS));
+                }
+            }
+        }
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+        assertEquals(2, rig.attempts());
+    }
 
     /** Guards against a connect that comes up late and carries the request of a client that has gone. */
     @ParameterizedTest
@@ -203,6 +219,92 @@
         Rig.await("the request is over", () -> rig.logged().contains("left by its client"));
     }
 
+    // ---- connections that end here ----
+
+    /**
+     * Guards against a close over unread bytes: it is a reset, which may overtake the answer. With so many
+     * requests in hand nothing more is read, and all their answers go out at once with the first.
+     */
+    @Test
+    void aLastAnswerIsFollowedByAnEndAndNoReset() throws Exception {
+        CompletableFuture<Wire> asked = new CompletableFuture<>();
+        start(new Fake((wire, request) -> {
+            asked.complete(wire);
+            wire.awaitEnd();
+        }));
+        String other = "GET /other HTTP/1.1\r\nHost: x\r\n\r\n";
+        try (Wire client = rig.client()) {
+            client.send(rig.request("order", DEADLINE_MS) + other.repeat(14)
+                + other.replace("Host: x", "Connection: close"));
+            Wire endpoint = asked.get();
+            client.send("unread");
+            Fake.answer(endpoint, 200, "", "served");
+            assertEquals("served", client.read().body());
+            for (int i = 0; i < 15; i++) {
+                assertEquals(404, client.read().status());
+            }
+            assertEquals("", client.rest());
+            assertTrue(client.isEndedInOrder(), "an end, and not a reset");
+        }
+    }
+
+    /** Guards against a connection of a peer that never ends it, kept open for ever. */
+    @Test
+    void aPeerThatDoesNotEndItsConnectionIsNotWaitedForLong() throws Exception {
+        start(Fake.answering(200, "", "served"));
+        try (Wire client = rig.client()) {
+            client.send(rig.request("order", DEADLINE_MS).replace("Host: app.svc", "Connection: close"));
+            assertEquals("served", client.read().body());
+            assertEquals("", client.rest());
+            Rig.await("it is closed here too, so that more bytes are turned back", () -> {
+                try {
+                    client.send("more");
+                    return false;
+                } catch (IOException e) {
+                    return true;
+                }
+            });
+        }
+    }
+
+    /** Guards against a request that has half come when idle connections are let go. */
+    @Test
+    void aRequestThatHasBegunToComeIsAnsweredInADrain() throws Exception {
+        start(Fake.answering(200, "", "served"));
+        String request = rig.request("order", DEADLINE_MS);
+        try (Wire idle = rig.client(); Wire begun = rig.client()) {
+            begun.send(request.substring(0, 60));
+            Thread drain = new Thread(rig.sidecar::drain);
+            drain.start();
+            idle.awaitEnd();
+            Wire.Message answer = begun.send(request.substring(60)).read();
+            assertEquals(200, answer.status());
+            assertEquals("close", answer.headers().get("connection"));
+            assertEquals("", begun.rest());
+            drain.join();
+        }
+    }
+
+    /** Guards against a flood that breaks the reader, whose close then overtakes the answer. */
+    @Test
+    void aFloodOfBadRequestsGetsOneAnswerAndAnEnd() throws Exception {
+        start(Fake.answering(200, "", "served"));
+        try (Wire client = rig.client()) {
+            String other = "GET / HTTP/1.1\r\n\r\n";
+            client.send("GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n" + other.repeat(1000));
+            assertEquals(400, client.read().status());
+            assertEquals("", client.rest());
+            assertTrue(client.isEndedInOrder(), "an end, and not a reset");
+        }
+        try (Wire client = rig.client()) {
+            client.send("GET / HTTP/1.1\r\n\r\n".repeat(2000));
+            for (int i = 0; i < 100; i++) {
+                assertEquals(404, client.read().status());
+            }
+        }
+        assertEquals(200, rig.ask("order", DEADLINE_MS).status());
+    }
+
     // ---- discovery ----
 
     /** A discovery that answers calls with what the test puts in, one after another; nothing is a 503. */
