Prove by many balancers that the ramp of a cold server is the fleet's

Need: over a budget of N calls only 2 x root of N + 2 is chance, with 3, 20, 30 and 100 processes that share nothing.

Looked at first, nothing to mend found: a slot on a cold server is used only below warmth times the calls that a warm one is meant to hold, and the ranks are dealt by own number and the server's place, so that the fleet's sum is bounded and not each balancer's.

Open: a server back from maintenance is owed one call by each balancer at once, outside the ramp, as operators ask that it gets one soon; with 100 balancers that alone can pass its budget.

--- a/decisions/src/main/java/mapleroute/Decide.java
+++ b/decisions/src/main/java/mapleroute/Decide.java
@@ -598,8 +598,9 @@
     }
 
     /**
-     * Ranks count the calls of all balancers: if each uses a cold server's low ranks only, together they
-     * hold no more calls there than it can do. One call each would flood it where balancers are many.
+     * The ramp is the fleet's: of a server's ranks each of n balancers has every n-th, by its number and the
+     * server's place. So all together have {@code warmth x M} calls at a cold server at most, M being what a
+     * warm one is meant to hold, whether they are 3 or 100. One call each would flood it.
      */
     private boolean gentle(double now, Slot slot) {
         double warmth = warmth(now, slot.target);
--- /dev/null
+++ b/decisions/src/test/java/mapleroute/ColdRampTest.java
@@ -0,0 +1,211 @@
+package mapleroute;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import mapleroute.Contract.Actions;
+import mapleroute.Contract.Finished;
+import mapleroute.Contract.ListKind;
+import mapleroute.Contract.Load;
+import mapleroute.Contract.Outcome;
+import mapleroute.Contract.Request;
+import mapleroute.Contract.Rules;
+import mapleroute.Contract.Server;
+import mapleroute.Contract.Settings;
+import mapleroute.Contract.State;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * What balancers that share nothing send to a cold server together, call by call: servers of some cores that
+ * do their calls in turn, clients that come at random, some balancers with three times the calls of others.
+ */
+class ColdRampTest {
+
+    private static final int SERVERS = 10;
+    private static final double WORK_MS = 50;
+    private static final double COLD_MS = 8000;
+    private static final double COLD_SHARE = 0.3;
+    private static final double WINDOW_MS = 1500;
+    private static final double START_MS = 1_000_000;
+    private static final double COLD_AT = START_MS + 20_000;
+    private static final double END_AT = COLD_AT + COLD_MS;
+
+    private record Event(double at, Runnable what) {
+    }
+
+    /** One server: so many cores, each with a call at a time; while cold, each does so much less. */
+    private final class Machine {
+        final Deque<Runnable> waiting = new ArrayDeque<>();
+        /** When calls came since it started. */
+        final List<Double> came = new ArrayList<>();
+        int busy;
+        double startedMs;
+
+        double warmth() {
+            return startedMs == 0 ? 1
+                : Math.min(1, COLD_SHARE + (1 - COLD_SHARE) * (now - startedMs) / COLD_MS);
+        }
+
+        void take(Runnable done) {
+            if (busy == cores) {
+                waiting.add(done);
+                return;
+            }
+            busy++;
+            double work = -WORK_MS * Math.log(1 - random.nextDouble());
+            at(now + work / warmth(), () -> {
+                busy--;
+                done.run();
+                if (!waiting.isEmpty()) {
+                    take(waiting.poll());
+                }
+            });
+        }
+    }
+
+    private final SplittableRandom random = new SplittableRandom(11);
+    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingDouble(Event::at));
+    private final Machine[] machines = new Machine[SERVERS];
+    private double now = START_MS;
+    private int cores;
+    private int requests;
+
+    private void at(double time, Runnable what) {
+        events.add(new Event(time, what));
+    }
+
+    /** One balancer, whose attempts go to the machines. */
+    private final class Balancer implements Actions {
+        final Decide decide;
+        final double rate;
+
+        Balancer(Settings settings, double rate) {
+            decide = new Decide(settings, settings.ownNumber(), this);
+            this.rate = rate;
+            decide.onServers(now, ListKind.FULL, list(0, 0));
+            arrive();
+        }
+
+        void arrive() {
+            // Half as much again, suddenly, as the server starts.
+            double factor = now >= COLD_AT ? 1.5 : 1;
+            at(now - Math.log(1 - random.nextDouble()) / (rate * factor), () -> {
+                String id = "r" + requests++;
+                decide.onRequest(now, new Request(id, Fixture.REPEATABLE, 0, now + 3000, false));
+                arrive();
+            });
+        }
+
+        @Override
+        public void send(String request, String server, double timeoutMs) {
+            int number = Integer.parseInt(server.substring(1));
+            if (machines[number].startedMs > 0) {
+                machines[number].came.add(now);
+            }
+            double sentAt = now;
+            machines[number].take(() -> decide.onFinished(now, new Finished(request, 0, server, Outcome.OK,
+                now - sentAt, true, Load.NONE)));
+        }
+
+        @Override
+        public void refuse(String request, double coolDownMs) {
+            // Turned away by a limit: it came to no server.
+        }
+
+        @Override
+        public void fail(String request) {
+            throw new AssertionError("no call fails here");
+        }
+
+        @Override
+        public void cancel(String request, int attempt) {
+            // It is served all the same: the worst for the server.
+        }
+
+        @Override
+        public void timer(double inMs, long name) {
+            // Lists are given by hand.
+        }
+
+        @Override
+        public void disconnect(String server) {
+            // There are no connections here.
+        }
+
+        @Override
+        public void subscribe() {
+            // Lists are given by hand.
+        }
+
+        @Override
+        public void log(String line) {
+            // Nobody reads it.
+        }
+    }
+
+    private static List<Server> list(int coldOnes, double startedMs) {
+        List<Server> list = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            list.add(Fixture.server("s" + i, 0, i < coldOnes ? startedMs : 0, State.READY));
+        }
+        return list;
+    }
+
+    /**
+     * Guards against a budget that each balancer keeps and all together pass: in no window may more come than
+     * N, what the settings allow the server then, and 2 x root of N + 2 for chance. A burst of half as much
+     * again comes as one server, or six of ten, start.
+     */
+    @ParameterizedTest
+    @CsvSource({"3,2,4,1", "20,2,4,1", "30,2,4,1", "100,2,4,1", "3,2,2.5,6", "20,2,2.5,6", "30,2,2.5,6",
+        "100,2,2.5,6", "3,1,2.5,1", "20,1,2.5,1", "30,1,2.5,1", "100,1,2.5,1", "3,4,2.5,6", "20,4,2.5,6",
+        "30,4,2.5,6", "100,4,2.5,6", "3,1,1.5,6", "20,1,1.5,6", "30,1,1.5,6", "100,1,1.5,6"})
+    void allTogetherKeepToAColdServersBudget(int balancers, int coresEach, double tip, int coldOnes) {
+        cores = coresEach;
+        for (int i = 0; i < SERVERS; i++) {
+            machines[i] = new Machine();
+        }
+        Settings one = Fixture.settings(1, 0, 1, true);
+        double perMs = 0.6 * SERVERS * cores / WORK_MS;
+        List<Balancer> fleet = new ArrayList<>();
+        for (int own = 0; own < balancers; own++) {
+            // Of three neighbours one has three times the calls.
+            double rate = perMs / balancers * (own % 3 == 0 ? 1.8 : 0.6);
+            fleet.add(new Balancer(new Settings(balancers, own, 0, 1, 2, false, false, 0.1, 0, one.classes(),
+                one.tenants(), one.limits(), new Rules(COLD_SHARE, COLD_MS, tip, WINDOW_MS, 1000, 10_000)),
+                rate));
+        }
+        at(COLD_AT, () -> {
+            for (int i = 0; i < coldOnes; i++) {
+                machines[i].startedMs = now;
+            }
+            fleet.forEach(balancer -> balancer.decide.onServers(now, ListKind.FULL, list(coldOnes, now)));
+        });
+        while (events.peek().at() < END_AT) {
+            Event next = events.poll();
+            now = next.at();
+            next.what().run();
+        }
+        for (int i = 0; i < coldOnes; i++) {
+            List<Double> came = machines[i].came;
+            for (int from = 0, to = 0; to < came.size(); to++) {
+                while (came.get(from) < came.get(to) - WINDOW_MS) {
+                    from++;
+                }
+                double begun = Math.max(0, came.get(to) - WINDOW_MS - COLD_AT);
+                double warmth = COLD_SHARE + (1 - COLD_SHARE) * begun / COLD_MS;
+                double budget = tip * warmth * cores / WORK_MS * WINDOW_MS;
+                double most = budget + 2 * Math.sqrt(budget) + 2;
+                assertTrue(to - from + 1 <= most, (to - from + 1) + " calls of " + most + " in a window");
+            }
+            assertTrue(came.size() > COLD_MS * perMs / SERVERS / 6, "it takes its part: " + came.size());
+        }
+    }
+}
