Look whether the client has gone before each attempt begins

Cause: a client's end waits in the system until its turn in the event loop. An attempt that ended in the same turn was followed by another one first, however long the end had lain there (a busy second): begun after its client had gone.

Change: Exchange asks the client's connection before each attempt, first or further, which looks for its end then. It takes the place of reading several times a turn.

Test: two servers with an idle connection each; the sidecar's thread is held while the attempt is reset and its client leaves (NarrowMomentsTest.aRequestIsNotSentAgainForAClientThatIsGone): a fifth attempt on, four now.

--- a/sidecar/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -153,7 +153,7 @@
         bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.RECVBUF_ALLOCATOR, Sidecar.reads())
+            .option(ChannelOption.RECVBUF_ALLOCATOR, Sidecar.READS)
             .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Sidecar.WINDOW);
         use(dialMs, idleCloseMs);
     }
--- a/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
@@ -60,6 +60,9 @@
         void refused(double coolDownMs);
 
         void failed();
+
+        /** Whether whoever waits for it has gone by now, also if that has not been told yet. */
+        boolean isGone();
     }
 
     /** What happens to the module, at the time at which it is told. */
@@ -338,6 +341,9 @@
             complaints.log("an attempt for a request that is not open", id);
             return;
         }
+        if (!open.concluded && open.client.isGone()) {
+            clientGone(id);
+        }
         double now = clock.now();
         Try made = new Try(open.tries.size(), server, now);
         open.tries.add(made);
--- a/sidecar/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Frontend.java
@@ -13,6 +13,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -80,8 +81,6 @@
      */
     private static final int LINGER_MS = 500;
     private static final int MOST_LINGERING = 64 * 1024;
-    /** A request, a second part of it, and the end behind them; large bodies come in their own time. */
-    private static final int READS_AT_ONCE = 4;
     /** Connections accepted at once, which find out only then that there is no more room. */
     private static final int ACCEPTED_AT_ONCE = 4;
     /** Headers that concern one connection only. */
@@ -172,9 +171,7 @@
             .option(ChannelOption.RECVBUF_ALLOCATOR,
                 new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTED_AT_ONCE))
             .childOption(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
-            // All that is there is read at once, so that a client's end is seen with its last request.
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                Sidecar.reads().respectMaybeMoreData(false).maxMessagesPerRead(READS_AT_ONCE))
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, Sidecar.READS)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Sidecar.WINDOW)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -184,12 +181,19 @@
                     accepted.pipeline().addLast(new ChannelInboundHandlerAdapter() {
                         @Override
                         public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+                            connection.reading = true;
                             if (connection.takesBytes((ByteBuf) bytes)) {
                                 ctx.fireChannelRead(bytes);
                             } else {
                                 ReferenceCountUtil.release(bytes);
                             }
                         }
+
+                        @Override
+                        public void channelReadComplete(ChannelHandlerContext ctx) {
+                            connection.reading = false;
+                            ctx.fireChannelReadComplete();
+                        }
                     }, new HttpServerCodec(), connection);
                 }
             });
@@ -303,6 +307,8 @@
         private int cameLately;
         /** No request is taken any more: an answer was the last, or will be. */
         private boolean ending;
+        /** What has come is being read just now, in the caller's own call. */
+        private boolean reading;
         /** Bytes of a request have come that is not whole yet. */
         private boolean coming;
         /** This side has ended it; what has come since then was dropped. */
@@ -438,6 +444,17 @@
             }
         }
 
+        /**
+         * Whether the client has ended the connection. Its end may have come and not been met yet, where this
+         * sidecar was busy, or the connection waited to be taken in: it is looked for now.
+         */
+        private boolean isGone() {
+            if (!reading && channel.isActive()) {
+                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+            }
+            return !channel.isActive();
+        }
+
         private void letGoHeld() {
             heldInAll -= held == null ? 0 : held.readableBytes();
             held = null;
@@ -534,7 +551,7 @@
             if (whole) {
                 forgetIncoming();
             }
-            // Once all that has come is read: a client that has ended the connection behind it is gone.
+            // Once its bytes are read, so that it can be looked whether its client has gone since then.
             Body large = body;
             loop.execute(() -> {
                 if (channel.isActive() && !reply.isAnswered()) {
@@ -806,6 +823,11 @@
             answer(refusal);
         }
 
+        @Override
+        public boolean isGone() {
+            return connection.isGone();
+        }
+
         @Override
         public void failed() {
             answer(response(HttpResponseStatus.BAD_GATEWAY, text("failed")));
--- a/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -44,10 +45,7 @@
      */
     private static final int HELD_PER_MB = 128 * 1024;
     /** What is read at once: a large body comes in few reads, and little is read beyond what can go on. */
-    static AdaptiveRecvByteBufAllocator reads() {
-        return new AdaptiveRecvByteBufAllocator(64, 2048, 32 * 1024);
-    }
-
+    static final RecvByteBufAllocator READS = new AdaptiveRecvByteBufAllocator(64, 2048, 32 * 1024);
     /** What may wait to be written before the other side is read no further, and when it is again. */
     static final WriteBufferWaterMark WINDOW = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
     /**
--- a/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
+++ b/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
@@ -175,6 +175,43 @@
         assertEquals(2, rig.attempts());
     }
 
+    /** Guards against a further attempt for a client whose end has come by then but was not met yet. */
+    @Test
+    void aRequestIsNotSentAgainForAClientThatIsGone() throws Exception {
+        CountDownLatch both = new CountDownLatch(2);
+        CompletableFuture<Wire> asked = new CompletableFuture<>();
+        CountDownLatch over = new CountDownLatch(1);
+        Fake.Script script = (wire, request) -> {
+            String id = request.headers().get("x-request-id");
+            if (id.equals("r0") || id.equals("r1")) {
+                both.countDown();
+                both.await();
+            } else if (asked.complete(wire)) {
+                over.await();
+            }
+            Fake.answer(wire, 200, "", "served");
+        };
+        start(new Fake(script), new Fake(script));
+        try (Wire client = rig.client(); Wire other = rig.client()) {
+            // A connection to each of the two stands idle after this.
+            client.send(rig.request("read", DEADLINE_MS));
+            other.send(rig.request("read", DEADLINE_MS));
+            assertEquals(200, client.read().status());
+            assertEquals(200, other.read().status());
+            client.send(rig.request("read", DEADLINE_MS));
+            Wire endpoint = asked.get();
+            try (Rig.Held held = rig.hold()) {
+                // The sidecar meets the attempt's end first.
+                endpoint.reset();
+                client.close();
+            }
+            Rig.await("the request is over", () -> rig.logged().contains("left by its client"));
+            over.countDown();
+            assertEquals(200, other.send(rig.request("order", DEADLINE_MS)).read().status());
+        }
+        assertEquals(4, rig.attempts());
+    }
+
     /** Guards against a connect that comes up late and carries the request of a client that has gone. */
     @ParameterizedTest
     @CsvSource({"true", "false"})
