Count a request as begun also where its head came with the request before it

Test: NarrowMomentsTest.aRequestThatBeganWithTheOneBeforeIsAnsweredInADrain, an end in place of the answer before.

--- a/sidecar/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Frontend.java
@@ -466,6 +466,7 @@
                 return;
             }
             // Its first bytes may have come with the last ones of the request before.
+            coming = true;
             awaitRequest();
             if (HttpUtil.getContentLength(request, 0L) > Body.MOST) {
                 stopTaking(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too large");
--- a/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
+++ b/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
@@ -322,6 +322,24 @@
         }
     }
 
+    /** As above, where the request's head came in one piece with the request before. */
+    @Test
+    void aRequestThatBeganWithTheOneBeforeIsAnsweredInADrain() throws Exception {
+        start(Fake.answering(200, "", "served"));
+        String request = rig.request("order", DEADLINE_MS);
+        try (Wire idle = rig.client(); Wire begun = rig.client()) {
+            begun.send(rig.request("order", DEADLINE_MS) + request.substring(0, request.length() - 3));
+            assertEquals(200, begun.read().status());
+            Thread drain = new Thread(rig.sidecar::drain);
+            drain.start();
+            idle.awaitEnd();
+            Wire.Message answer = begun.send(request.substring(request.length() - 3)).read();
+            assertEquals(200, answer.status());
+            assertEquals("close", answer.headers().get("connection"));
+            drain.join();
+        }
+    }
+
     /** Guards against a flood that breaks the reader, whose close then overtakes the answer. */
     @Test
     void aFloodOfBadRequestsGetsOneAnswerAndAnEnd() throws Exception {
