Let lingering connections go first where there is no more room for new ones

Need: a connection that has ended here stays for 0.5 s; a flood of idle clients that never end theirs would fill the room kept for those that are refused, and new ones would wait as long. Where the room is full the oldest lingering one is closed. Seen by reading the lingering close again; the tests on the bound hold (SidecarTest, NarrowMomentsTest).

--- a/sidecar/src/main/java/mapleroute/sidecar/Frontend.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Frontend.java
@@ -101,8 +101,8 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     /** Those with no request in hand, the longest idle first. */
     private final Set<Connection> idle = new LinkedHashSet<>();
-    /** Those of all connections that have ended here, and wait for their peers to end them too. */
-    private int lingering;
+    /** Those of all connections that have ended here and wait for their peers to end them, by their age. */
+    private final Set<Connection> lingering = new LinkedHashSet<>();
     /** What has come of bodies that are not whole yet. */
     private int heldInAll;
     private Channel listener;
@@ -277,9 +277,13 @@
     }
 
     private void mindRoom() {
-        if (connections.size() - lingering > most && !idle.isEmpty()) {
+        if (connections.size() - lingering.size() > most && !idle.isEmpty()) {
             idle.iterator().next().hangUp();
         }
+        if (connections.size() >= most + OVERFLOW && !lingering.isEmpty()) {
+            // It is owed nothing more; those that come must not wait for it.
+            lingering.iterator().next().channel.close();
+        }
         boolean room = connections.size() < most + OVERFLOW;
         if (!room) {
             complaints.log("no more connections are taken in", connections.size() + " are open");
@@ -340,7 +344,7 @@
             }
             hungUp = true;
             ending = true;
-            lingering++;
+            lingering.add(this);
             idle.remove(this);
             stopClock();
             clocked = loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
@@ -422,7 +426,7 @@
         public void channelInactive(ChannelHandlerContext ctx) {
             connections.remove(this);
             idle.remove(this);
-            lingering -= hungUp ? 1 : 0;
+            lingering.remove(this);
             stopClock();
             forgetIncoming();
             mindRoom();
@@ -645,7 +649,7 @@
                 reply.plain(HttpResponseStatus.BAD_REQUEST, "not the form of its class", true);
             } else if (exchange.has(id)) {
                 reply.plain(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand", true);
-            } else if (connections.size() - lingering > most) {
+            } else if (connections.size() - lingering.size() > most) {
                 reply.keepAlive = false;
                 reply.refused(OVERFLOW_COOL_DOWN_MS);
             } else {
