--- a/lab/src/main/java/mapleroute/lab/report/ScaleResults.java
+++ b/lab/src/main/java/mapleroute/lab/report/ScaleResults.java
@@ -237,8 +237,9 @@
     /** What git says of this folder: a short commit, {@code -dirty} where files of it differ. */
     private static String described() {
         Optional<String> head = git("rev-parse", "--short", "HEAD").filter(line -> !line.isEmpty());
-        boolean changed = git("status", "--porcelain", "--untracked-files=no").filter(
-            lines -> !lines.isEmpty()).isPresent();
+        // Another's git must not wait for a lock of this look.
+        boolean changed = git("--no-optional-locks", "status", "--porcelain", "--untracked-files=no")
+            .filter(lines -> !lines.isEmpty()).isPresent();
         return head.map(commit -> changed ? commit + DIRTY : commit).orElse(UNKNOWN);
     }
 
