--- a/fleet/src/main/java/mapleroute/fleet/host/FleetHost.java
+++ b/fleet/src/main/java/mapleroute/fleet/host/FleetHost.java
@@ -43,14 +43,15 @@
     private double alarmMs = Double.POSITIVE_INFINITY;
     private boolean closed;
 
-    private FleetHost(EventLoop loop, ByteBufAllocator buffers, FleetConfig config, Consumer<String> log) {
+    private FleetHost(EventLoop loop, ByteBufAllocator buffers, FleetConfig config, LinkEmulation links,
+            Consumer<String> log) {
         this.loop = loop;
         this.config = config;
         this.log = log;
         changes = new ChangeLog(log);
         seedsFile = config.seedsFile() == null ? null : new SeedsFile(config.seedsFile(), log);
         codec = new MessageCodec(config.fleet());
-        transport = new Transport(loop, buffers, this::received);
+        transport = new Transport(loop, buffers, links, this::received);
     }
 
     /**
@@ -66,7 +67,19 @@
      */
     public static FleetHost start(EventLoop loop, ByteBufAllocator buffers, FleetConfig config, String name,
             Profile profile, long seed, Rider rider, Consumer<String> log) throws IOException {
-        FleetHost host = new FleetHost(loop, buffers, config, log);
+        return start(loop, buffers, config, name, profile, seed, rider, null, log);
+    }
+
+    /**
+     * The same over links that are emulated, for trials.
+     *
+     * @param links what they do to messages, or null for the real ones
+     * @throws IOException if it cannot listen
+     */
+    public static FleetHost start(EventLoop loop, ByteBufAllocator buffers, FleetConfig config, String name,
+            Profile profile, long seed, Rider rider, LinkEmulation links, Consumer<String> log)
+            throws IOException {
+        FleetHost host = new FleetHost(loop, buffers, config, links, log);
         host.transport.listen(config.listen());
         String address = config.advertise() == null ? Addresses.text(host.transport.address())
             : config.advertise();
@@ -171,6 +184,23 @@
         return membership.view(now());
     }
 
+    /** The digest of the present view; cheaper than the view. */
+    public long viewDigest() {
+        return membership.viewDigest();
+    }
+
+    /** How many are present; cheaper than the view. */
+    public int present() {
+        return membership.present();
+    }
+
+    /** What went out and came in since the start, by what it is: messages, bytes, troubles. */
+    public Map<String, Long> counts() {
+        Map<String, Long> counts = new TreeMap<>(transport.counts());
+        counts.put("implausible claims", membership.implausible());
+        return counts;
+    }
+
     /** What is held of a member, or null; cheaper than the view. */
     public Update held(String member) {
         return membership.held(member);
@@ -193,9 +223,7 @@
 
     /** What this process sees, as one line of JSON. */
     public String members() {
-        Map<String, Long> counts = new TreeMap<>(transport.counts());
-        counts.put("implausible claims", membership.implausible());
-        return ViewJson.of(config.fleet(), membership.view(now()), counts);
+        return ViewJson.of(config.fleet(), membership.view(now()), counts());
     }
 
     /** Listens no more. */
--- a/fleet/src/main/java/mapleroute/fleet/host/Transport.java
+++ b/fleet/src/main/java/mapleroute/fleet/host/Transport.java
@@ -21,6 +21,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.TreeMap;
@@ -44,19 +45,28 @@
     private static final int READ_BYTES = 2048;
     /** Ports to try for one that is free on both UDP and TCP. */
     private static final int TRIES = 20;
+    /** Messages under way on emulated links at most; what comes beyond that is dropped, and counted. */
+    private static final int MOST_UNDER_WAY = 1024;
+    /** A connection's handshake goes there and back before its first bytes go there. */
+    private static final int WAYS_OF_CONNECTION = 3;
 
     private final EventLoop loop;
     private final ByteBufAllocator buffers;
     private final Consumer<byte[]> received;
+    /** Null but in trials. */
+    private final LinkEmulation links;
     private final Map<String, Long> counts = new TreeMap<>();
     private Channel datagrams;
     private Channel listener;
     private int incoming;
     private int outgoing;
+    private int underWay;
 
-    Transport(EventLoop loop, ByteBufAllocator buffers, Consumer<byte[]> received) {
+    /** Carries messages over real links, or, in trials, over emulated ones; {@code links} may be null. */
+    Transport(EventLoop loop, ByteBufAllocator buffers, LinkEmulation links, Consumer<byte[]> received) {
         this.loop = loop;
         this.buffers = buffers;
+        this.links = links;
         this.received = received;
     }
 
@@ -121,12 +131,51 @@
         }
         count("datagrams out");
         count("bytes out", bytes.length);
-        datagrams.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), Addresses.of(to)))
-            .addListener(sent -> {
-                if (!sent.isSuccess()) {
-                    count("datagrams not sent");
-                }
-            });
+        InetSocketAddress address = Addresses.of(to);
+        if (links == null) {
+            send(address, bytes);
+            return;
+        }
+        double delayMs = delayTo(address, bytes.length);
+        if (delayMs < 0) {
+            count("datagrams cut off");
+        } else {
+            after(delayMs, () -> send(address, bytes));
+        }
+    }
+
+    private void send(InetSocketAddress to, byte[] bytes) {
+        datagrams.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to)).addListener(sent -> {
+            if (!sent.isSuccess()) {
+                count("datagrams not sent");
+            }
+        });
+    }
+
+    /** How long bytes that leave now are under way, or below 0 for ever. */
+    private double delayTo(InetSocketAddress to, int bytes) {
+        InetAddress own = address().getAddress();
+        if (links.isFar(own, to.getAddress())) {
+            count("bytes out far", bytes);
+        }
+        return links.delayMs(own, to.getAddress());
+    }
+
+    /** Does something once a message has been under way for so long; a loop's timers are as fine as 1 ms. */
+    private boolean after(double delayMs, Runnable then) {
+        if (delayMs == 0) {
+            then.run();
+        } else if (underWay >= MOST_UNDER_WAY) {
+            count("messages dropped under way");
+            return false;
+        } else {
+            underWay++;
+            loop.schedule(() -> {
+                underWay--;
+                then.run();
+            }, (long) (delayMs * 1e6), TimeUnit.NANOSECONDS);
+        }
+        return true;
     }
 
     void whole(String to, byte[] bytes) {
@@ -137,6 +186,22 @@
         outgoing++;
         count("exchanges out");
         count("bytes out", bytes.length);
+        InetSocketAddress address = Addresses.of(to);
+        if (links == null) {
+            connect(address, bytes);
+            return;
+        }
+        double delayMs = delayTo(address, bytes.length);
+        boolean begun = delayMs < 0 ? after(CONNECTION_MS, () -> {
+            outgoing--;
+            count("exchanges not connected");
+        }) : after(WAYS_OF_CONNECTION * delayMs, () -> connect(address, bytes));
+        if (!begun) {
+            outgoing--;
+        }
+    }
+
+    private void connect(InetSocketAddress to, byte[] bytes) {
         new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.ALLOCATOR, buffers)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECTION_MS)
@@ -148,7 +213,7 @@
                     loop.schedule(() -> channel.close(), CONNECTION_MS, TimeUnit.MILLISECONDS);
                 }
             })
-            .connect(Addresses.of(to)).addListener((ChannelFuture connected) -> {
+            .connect(to).addListener((ChannelFuture connected) -> {
                 if (connected.isSuccess()) {
                     connected.channel().writeAndFlush(Unpooled.wrappedBuffer(
                         Unpooled.copyInt(bytes.length), Unpooled.wrappedBuffer(bytes)))
@@ -163,7 +228,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
             count("datagrams in");
-            take(packet.content());
+            take(packet.content(), packet.sender().getAddress(), 1);
         }
 
         @Override
@@ -177,7 +242,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
             count("exchanges in");
-            take(frame);
+            take(frame, ((InetSocketAddress) ctx.channel().remoteAddress()).getAddress(), WAYS_OF_CONNECTION);
             ctx.close();
         }
 
@@ -188,9 +253,23 @@
         }
     }
 
-    private void take(ByteBuf content) {
+    private void take(ByteBuf content, InetAddress from, int ways) {
         byte[] bytes = new byte[content.readableBytes()];
         content.readBytes(bytes);
+        if (links == null || links.emulates(from)) {
+            take(bytes);
+            return;
+        }
+        double delayMs = links.delayMs(from, address().getAddress());
+        if (delayMs < 0) {
+            // Its sender is real and saw it go, a connection too: over a cut link that would be a time-out.
+            count("messages cut off at receipt");
+        } else {
+            after(ways * delayMs, () -> take(bytes));
+        }
+    }
+
+    private void take(byte[] bytes) {
         count("bytes in", bytes.length);
         received.accept(bytes);
     }
--- a/fleet/src/main/java/mapleroute/fleet/member/Membership.java
+++ b/fleet/src/main/java/mapleroute/fleet/member/Membership.java
@@ -386,6 +386,11 @@
         return table.viewDigest();
     }
 
+    /** How many are alive or suspect; cheaper than the view. */
+    public int present() {
+        return table.present();
+    }
+
     /** What is held of a member, or null. */
     public Update held(String name) {
         MemberTable.Entry entry = table.get(name);
--- a/fleet/src/main/java/mapleroute/fleet/share/Sharing.java
+++ b/fleet/src/main/java/mapleroute/fleet/share/Sharing.java
@@ -100,6 +100,11 @@
         });
     }
 
+    /** How many servers this process's own discovery names that take new calls. */
+    public int servers() {
+        return servers.size();
+    }
+
     /** The tenants' allowances, in calls a second over so many processes; none where they do not bind. */
     public void allowances(Map<String, Double> all, int processes) {
         allowances = Map.copyOf(all);
--- a/fleet/src/main/java/mapleroute/fleet/wire/Riders.java
+++ b/fleet/src/main/java/mapleroute/fleet/wire/Riders.java
@@ -24,11 +24,14 @@
     private static final int KIND_BYTES = 5;
 
     private final Map<String, Rider> kinds = new LinkedHashMap<>();
+    /** Bytes sent of each kind, without the map round them. */
+    private final Map<String, Long> sent = new LinkedHashMap<>();
     private long unreadable;
 
     /** Adds a kind; those added first have the first choice of the room. */
     public Riders with(String letter, Rider kind) {
         kinds.put(letter, kind);
+        sent.put(letter, 0L);
         return this;
     }
 
@@ -46,6 +49,7 @@
                 : Message.NOTHING;
             if (next.hasRemaining()) {
                 all.put(kind.getKey(), next);
+                sent(kind.getKey(), next);
                 room -= KIND_BYTES + next.remaining();
             }
         }
@@ -64,6 +68,7 @@
             ByteBuffer answer = kinds.get(letter).asked(now, from, sequence, bytes);
             if (answer.hasRemaining()) {
                 answers.put(letter, answer);
+                sent(letter, answer);
             }
         });
         return answers.isEmpty() ? Message.NOTHING : encode(answers);
@@ -74,6 +79,16 @@
         decode(answer).forEach((letter, bytes) -> kinds.get(letter).told(now, from, sequence, bytes));
     }
 
+    /** A question of a kind was sent by itself; it counts as what rides on answers does. */
+    public void sent(String letter, ByteBuffer bytes) {
+        sent.merge(letter, (long) bytes.remaining(), Long::sum);
+    }
+
+    /** Bytes sent since the start by a kind's letter: on answers, as answers, and as questions. */
+    public Map<String, Long> sentBytes() {
+        return Map.copyOf(sent);
+    }
+
     /** Riders that could not be read. */
     public long unreadable() {
         return unreadable;
--- a/sidecar/src/main/java/mapleroute/sidecar/FleetDuties.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/FleetDuties.java
@@ -27,15 +27,17 @@
     private final String name;
     private final FleetConfig config;
     private final Complaints complaints;
+    private final Riders riders;
     private final DutyClient client;
     private FleetHost host;
     private boolean serves;
     private boolean leaving;
     private long unreadable;
 
-    FleetDuties(String name, FleetConfig config, long seed, Complaints complaints) {
+    FleetDuties(String name, FleetConfig config, long seed, Riders riders, Complaints complaints) {
         this.name = name;
         this.config = config;
+        this.riders = riders;
         this.complaints = complaints;
         SplittableRandom random = new SplittableRandom(seed);
         client = new DutyClient(Terms.DEFAULT, name, random.nextLong() >>> 1, config.keepers(), random, this);
@@ -90,7 +92,12 @@
 
     @Override
     public long ask(DutyClient.Question question) {
-        return host.ask(question.keeper(), Riders.wrapped(DutyCodec.LETTER, DutyCodec.question(question)));
+        ByteBuffer bytes = DutyCodec.question(question);
+        long sequence = host.ask(question.keeper(), Riders.wrapped(DutyCodec.LETTER, bytes));
+        if (sequence >= 0) {
+            riders.sent(DutyCodec.LETTER, bytes);
+        }
+        return sequence;
     }
 
     @Override
--- a/sidecar/src/main/java/mapleroute/sidecar/FleetPart.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/FleetPart.java
@@ -2,11 +2,15 @@
 
 import io.netty.channel.EventLoop;
 import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import mapleroute.fleet.host.FleetConfig;
 import mapleroute.fleet.host.FleetHost;
+import mapleroute.fleet.host.LinkEmulation;
 import mapleroute.fleet.member.Profile;
+import mapleroute.fleet.member.View;
 import mapleroute.fleet.wire.DutyCodec;
 import mapleroute.fleet.wire.Riders;
 
@@ -17,6 +21,10 @@
     private static final int PHASE_MS = 100;
     private static final String UNKNOWN_VERSION = "0";
 
+    /** What the links to other members do to messages, in a trial. */
+    interface Links extends LinkEmulation {
+    }
+
     private final SidecarConfig config;
     private final FleetConfig fleet;
     /** Null where the configuration does not say that it shares. */
@@ -41,7 +49,7 @@
         }
         sharing = fleet.shares() ? new FleetSharing(config, exchange, riders) : null;
         duties = fleet.duties().isEmpty() ? null
-            : new FleetDuties(config.name(), fleet, config.seed() - System.nanoTime(), complaints);
+            : new FleetDuties(config.name(), fleet, config.seed() - System.nanoTime(), riders, complaints);
         if (duties != null) {
             riders.with(DutyCodec.LETTER, duties);
         }
@@ -55,12 +63,18 @@
      */
     void start(EventLoop loop, String door, Supplier<String> phase, Complaints complaints)
             throws IOException {
+        start(loop, door, phase, null, complaints);
+    }
+
+    /** The same over emulated links, or over the real ones where {@code links} is null. */
+    void start(EventLoop loop, String door, Supplier<String> phase, Links links, Complaints complaints)
+            throws IOException {
         String own = FleetPart.class.getPackage().getImplementationVersion();
         String version = !fleet.version().isEmpty() ? fleet.version() : own == null ? UNKNOWN_VERSION : own;
         // The seed is new with each start, but a second process of an upgrade may be told the same one.
         host = FleetHost.start(loop, Sidecar.BUFFERS, fleet, config.name(),
             new Profile(fleet.zone(), fleet.tier(), version, Profile.Phase.STARTING, door),
-            config.seed() ^ System.nanoTime(), riders, complaints::say);
+            config.seed() ^ System.nanoTime(), riders, links, complaints::say);
         loop.execute(() -> {
             if (sharing != null) {
                 sharing.start(loop, host);
@@ -85,6 +99,39 @@
         return host == null ? null : host.members();
     }
 
+    /** The digest of its view, the same for all that see the same members; once it takes part. */
+    String viewDigest() {
+        return Long.toHexString(host.viewDigest());
+    }
+
+    /** How many members it sees present; once it takes part. */
+    int present() {
+        return host.present();
+    }
+
+    /**
+     * What it sees, holds and has sent, in numbers: {@code present}, {@code same}, {@code other} (members
+     * that told its view, or another), {@code counts} (messages and bytes since the start),
+     * {@code rider_bytes_out} (bytes since the start by a kind's letter) and {@code entries} of its state.
+     * Once it takes part, on the loop.
+     */
+    Map<String, Object> figures() {
+        View view = host.view();
+        Map<String, Object> entries = new LinkedHashMap<>();
+        entries.put("members", view.members().size());
+        if (sharing != null) {
+            entries.putAll(sharing.entries());
+        }
+        Map<String, Object> figures = new LinkedHashMap<>();
+        figures.put("present", view.present());
+        figures.put("same", view.same());
+        figures.put("other", view.other());
+        figures.put("counts", host.counts());
+        figures.put("rider_bytes_out", riders.sentBytes());
+        figures.put("entries", entries);
+        return figures;
+    }
+
     /** What is shared, as one line of JSON; null where nothing is. */
     String shared() {
         return sharing == null || host == null ? null : sharing.status();
--- a/sidecar/src/main/java/mapleroute/sidecar/FleetSharing.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/FleetSharing.java
@@ -1,6 +1,7 @@
 package mapleroute.sidecar;
 
 import io.netty.channel.EventLoop;
+import java.nio.ByteBuffer;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -19,6 +20,7 @@
 import mapleroute.fleet.release.Stage;
 import mapleroute.fleet.release.Stager;
 import mapleroute.fleet.share.Eyes;
+import mapleroute.fleet.share.Shares;
 import mapleroute.fleet.share.Sharing;
 import mapleroute.fleet.wire.LoanDesk;
 import mapleroute.fleet.wire.Riders;
@@ -80,14 +82,22 @@
             sharing.allowances(allowances, settings.balancers());
         }
         double now = host.now();
-        Sharing.Advice advice = sharing.advance(now, host::view, question ->
-            host.ask(question.lender(), Riders.wrapped(LOANS, LoanDesk.question(question))));
+        Sharing.Advice advice = sharing.advance(now, host::view, this::ask);
         List<Double> rates = settings.tier() > 0 ? List.of()
             : settings.tenants().stream().map(tenant -> advice.rates().get(tenant.name())).toList();
         exchange.advise(advice.untilMs() - now,
             new Guidance(0, advice.ailing(), stager.staged(now), stager.part(now), rates));
     }
 
+    private long ask(Shares.Question question) {
+        ByteBuffer bytes = LoanDesk.question(question);
+        long sequence = host.ask(question.lender(), Riders.wrapped(LOANS, bytes));
+        if (sequence >= 0) {
+            riders.sent(LOANS, bytes);
+        }
+        return sequence;
+    }
+
     @Override
     public void listed(boolean full, List<Server> changes) {
         sharing.listed(full, changes.stream().collect(Collectors.toMap(Server::id,
@@ -125,6 +135,11 @@
         return server.kind() >= 0 && server.kind() < kinds.size() ? kinds.get(server.kind()) : "";
     }
 
+    /** How many entries of its kinds of state it holds. */
+    Map<String, Object> entries() {
+        return Map.of("sightings", sharing.sightings().size(), "servers", sharing.servers());
+    }
+
     /** The state for operators, as one line of JSON. */
     String status() {
         Map<String, Object> status = sharing.status(host.now());
