--- a/lab/src/test/java/mapleroute/lab/ArchitectureTest.java
+++ b/lab/src/test/java/mapleroute/lab/ArchitectureTest.java
@@ -92,6 +92,13 @@
             .should().dependOnClassesThat().resideInAPackage("mapleroute.fleet..").check(ALL);
     }
 
+    /** Hollow members are for trials: nothing that serves knows of them, nor does the fleet. */
+    @Test
+    void nothingThatServesKnowsOfHollowMembers() {
+        noClasses().that().haveNameNotMatching("mapleroute\\.sidecar\\.Hollow.*")
+            .should().dependOnClassesThat().haveNameMatching("mapleroute\\.sidecar\\.Hollow.*").check(ALL);
+    }
+
     @Test
     void theLabUsesTheDecisionsAndNothingOfTheSidecar() {
         noClasses().that().resideInAPackage("mapleroute.lab..")
--- a/sidecar/src/main/java/mapleroute/sidecar/Hollow.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Hollow.java
@@ -42,6 +42,8 @@
 
     /** Who leaves answers for so long after it has said so, as a sidecar that has nothing in hand. */
     private static final long LINGER_MS = 600;
+    /** A member that is being started takes milliseconds; at the end it is waited for no longer than this. */
+    private static final int LONGEST_START_S = 10;
 
     private final HollowConfig config;
     private final HollowLog log;
@@ -52,6 +54,9 @@
     private final ExecutorService life = Executors.newSingleThreadExecutor(
         task -> new Thread(task, "hollow-life"));
 
+    /** No member starts any more. */
+    private volatile boolean closing;
+
     /** A hollow process whose door listens; members start when they are told to. */
     Hollow(HollowConfig config) throws IOException {
         this.config = config;
@@ -162,6 +167,9 @@
     private CompletionStage<Map<String, ?>> start(List<String> names) {
         int started = 0;
         for (HollowMember member : names.isEmpty() ? members.values() : named(names)) {
+            if (closing) {
+                throw new IllegalStateException("this process ends");
+            }
             member.reap();
             if (!member.isRunning()) {
                 try {
@@ -265,10 +273,20 @@
         return machine;
     }
 
-    /** Ends all members without a word, and the process's threads. */
+    /**
+     * Ends all members without a word, and the process's threads. Each member ends by itself first: left to
+     * the shutdown of the loops alone, members' listeners were seen to stay open.
+     */
     @Override
     public void close() {
-        life.shutdownNow();
+        closing = true;
+        life.shutdown();
+        try {
+            life.awaitTermination(LONGEST_START_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        members.values().stream().map(HollowMember::kill).toList().forEach(end -> end.awaitUninterruptibly());
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         log.close();
     }
