Let other parts of the lab start processes of a fleet on any address

A scale run needs keepers and sidecars as the drills have them, on addresses that name their zone, and must be able to end all of them from another thread. Processes is public, told its address, fleet and zone, starts any program, and starts none once it is closed.

--- a/lab/src/main/java/mapleroute/lab/drill/Processes.java
+++ b/lab/src/main/java/mapleroute/lab/drill/Processes.java
@@ -16,8 +16,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
-/** Real processes of a fleet on loopback: keepers, sidecars, conductors, each with its door. */
-final class Processes implements AutoCloseable {
+/**
+ * Real processes of a fleet on loopback: keepers, sidecars, conductors, and whatever else has a door. Once
+ * closed it starts no more; it may be closed from any thread, all else is for one thread at a time.
+ */
+public final class Processes implements AutoCloseable {
 
     /** A process that stands still takes a connection and says nothing. */
     private static final int PATIENCE_MS = 2000;
@@ -28,7 +31,11 @@
     private final Path folder;
     private final Path root;
     private final List<String> names;
+    private final String host;
+    private final String fleetName;
+    private final String zone;
     private final List<Process> processes = new ArrayList<>();
+    private boolean closed;
     private int seedPort;
 
     /**
@@ -39,31 +46,57 @@
      * @param keepers how many there are to be
      */
     Processes(Path folder, Path root, int keepers) {
+        this(folder, root, keepers, "127.0.0.1", "test", "");
+    }
+
+    /**
+     * None yet, of a fleet of any name.
+     *
+     * @param folder for configurations and logs
+     * @param root of the repository, with the programs built
+     * @param keepers how many there are to be
+     * @param host the address on loopback that all stand on
+     * @param fleet the fleet's name
+     * @param zone the zone that keepers say they stand in, or empty
+     */
+    public Processes(Path folder, Path root, int keepers, String host, String fleet, String zone) {
         this.folder = folder;
         this.root = root;
+        this.host = host;
+        this.fleetName = fleet;
+        this.zone = zone;
         names = IntStream.range(0, keepers).mapToObj(i -> "k" + i).toList();
     }
 
+    /** The keepers' names. */
+    public List<String> keeperNames() {
+        return names;
+    }
+
     /** The keepers' names as JSON. */
     private String group() {
         return "[\"" + String.join("\",\"", names) + "\"]";
     }
 
     static int free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+        return free("127.0.0.1");
+    }
+
+    private static int free(String host) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
             return socket.getLocalPort();
         }
     }
 
     /** A process that is to be; the first one is the seed of all. */
-    Part part(String name) throws IOException {
+    public Part part(String name) throws IOException {
         Part part = new Part(name);
         seedPort = seedPort == 0 ? part.port : seedPort;
         return part;
     }
 
     /** The keepers, which found their group. */
-    List<Part> keepers() throws IOException {
+    public List<Part> keepers() throws IOException {
         List<Part> keepers = new ArrayList<>();
         for (String name : names) {
             keepers.add(part(name));
@@ -75,20 +108,50 @@
     }
 
     /** One process with its door. */
-    final class Part {
+    public final class Part {
         final String name;
-        final int port = free();
-        final int door = free();
-        final int clients = free();
+        final int port = free(host);
+        final int door = free(host);
+        final int clients = free(host);
         Process process;
 
         Part(String name) throws IOException {
             this.name = name;
         }
 
+        /** Its name, which its configuration and its log are called after. */
+        public String name() {
+            return name;
+        }
+
+        /** Where it is reached by the other members, if it is one: IP:port. */
+        public String address() {
+            return host + ":" + port;
+        }
+
+        /** Where operators connect: IP:port. */
+        public String door() {
+            return host + ":" + door;
+        }
+
+        /** Where clients connect, if it serves any: IP:port. */
+        public String clients() {
+            return host + ":" + clients;
+        }
+
+        /** The process; null before its start. */
+        public Process process() {
+            return process;
+        }
+
+        /** Where its log is. */
+        public Path logFile() {
+            return folder.resolve(name + ".log");
+        }
+
         private String fleet(String more) {
-            return "\"fleet\":{\"name\":\"test\",\"listen\":\"127.0.0.1:" + port
-                + "\",\"seeds\":[\"127.0.0.1:" + seedPort + "\"]" + more + "}";
+            return "\"fleet\":{\"name\":\"" + fleetName + "\",\"listen\":\"" + address()
+                + "\",\"seeds\":[\"" + host + ":" + seedPort + "\"]" + (zone.isEmpty() ? "" : ",\"zone\":\"" + zone + "\"") + more + "}";
         }
 
         /** The keepers' names as JSON. */
@@ -99,7 +162,7 @@
         /** Starts as a keeper. */
         Part keep(String... how) throws IOException {
             Path file = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name
-                + "\",\"management\":\"127.0.0.1:" + door + "\"," + fleet("") + ",\"keep\":{\"folder\":\""
+                + "\",\"management\":\"" + door() + "\"," + fleet("") + ",\"keep\":{\"folder\":\""
                 + folder.resolve("log-" + name) + "\",\"founders\":" + group() + "}}");
             List<String> command = new ArrayList<>(List.of("-jar",
                 commandLine(), "keep", file.toString()));
@@ -115,8 +178,8 @@
          */
         Part serve(String more, String servers) throws IOException {
             Path file = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name
-                + "\",\"listen\":\"127.0.0.1:" + clients + "\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1f\","
-                + "\"management\":\"127.0.0.1:" + door + "\"," + fleet("," + more)
+                + "\",\"listen\":\"" + clients() + "\",\"discovery\":\"127.0.0.1:1\",\"seed\":\"1f\","
+                + "\"management\":\"" + door() + "\"," + fleet("," + more)
                 + ",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},"
                 + "\"known\":{\"version\":1,\"full\":true,\"servers\":[" + servers + "]},\"settings\":{"
                 + "\"azs\":[\"a\"],\"models\":[\"m1\",\"m2\"],\"membership-mode\":\"on_request\","
@@ -130,7 +193,7 @@
         /** A conductor of the release in a plan. */
         Part conduct(String plan) throws IOException {
             Path file = Files.writeString(folder.resolve(name + ".json"), "{\"name\":\"" + name
-                + "\",\"management\":\"127.0.0.1:" + door + "\"," + fleet(",\"keepers\":" + group()) + "}");
+                + "\",\"management\":\"" + door() + "\"," + fleet(",\"keepers\":" + group()) + "}");
             Path yaml = Files.writeString(folder.resolve(name + ".yaml"), plan);
             return started(List.of("-jar", commandLine(), "release", "start",
                 yaml.toString(), "--config", file.toString()), "");
@@ -140,17 +203,33 @@
             List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx64m"));
             command.addAll(arguments);
-            ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(
-                ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
+            return start(new ProcessBuilder(command), config);
+        }
+
+        /**
+         * Starts any program as this process.
+         *
+         * @param builder of the process; its output goes to the log
+         * @param config what GW_CONFIG is to say
+         * @throws IOException if it cannot be started, or all were ended meanwhile
+         */
+        public Part start(ProcessBuilder builder, String config) throws IOException {
+            builder.redirectErrorStream(true).redirectOutput(
+                ProcessBuilder.Redirect.appendTo(logFile().toFile()));
             builder.environment().put("GW_CONFIG", config);
-            process = builder.start();
-            processes.add(process);
+            synchronized (processes) {
+                if (closed) {
+                    throw new IOException("all processes were ended while " + name + " was to start");
+                }
+                process = builder.start();
+                processes.add(process);
+            }
             return this;
         }
 
         /** What its door says, or nothing where it is not there. */
         String ask(String call) {
-            try (Socket socket = new Socket("127.0.0.1", door)) {
+            try (Socket socket = new Socket(host, door)) {
                 socket.setSoTimeout(PATIENCE_MS);
                 socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.UTF_8));
                 return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8).trim();
@@ -164,7 +243,7 @@
         }
 
         /** What its door says to a call that is answered with JSON; an empty object where it is not there. */
-        JsonNode json(String call) throws IOException {
+        public JsonNode json(String call) throws IOException {
             String answer = ask(call);
             return answer.startsWith("done ") ? JSON.readTree(answer.substring(5)) : JSON.createObjectNode();
         }
@@ -180,12 +259,12 @@
         }
 
         /** Sends it a signal that Java has no word for. */
-        void signal(String signal) throws IOException, InterruptedException {
+        public void signal(String signal) throws IOException, InterruptedException {
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
         }
 
-        String log() throws IOException {
-            return Files.readString(folder.resolve(name + ".log"));
+        public String log() throws IOException {
+            return Files.readString(logFile());
         }
     }
 
@@ -218,6 +297,9 @@
     /** Ends all at once. */
     @Override
     public void close() {
-        processes.forEach(Process::destroyForcibly);
+        synchronized (processes) {
+            closed = true;
+            processes.forEach(Process::destroyForcibly);
+        }
     }
 }
