--- a/lab/src/main/java/mapleroute/lab/Lab.java
+++ b/lab/src/main/java/mapleroute/lab/Lab.java
@@ -10,7 +10,7 @@
     subcommands = {RunCommand.class, SweepCommand.class, CompareCommand.class, ListCommand.class,
     ExploreCommand.class, MembersCommand.class, DrillCommand.class,
     SharingCommand.class, AllowancesCommand.class, ReleasesCommand.class,
-    HandoversCommand.class},
+    HandoversCommand.class, ScaleCommand.class},
     description =
     "Plays experiments against sidecars in a world of the lab's own, and reports how they went.",
     exitCodeListHeading = "%nExit codes:%n",
--- a/lab/src/main/java/mapleroute/lab/drill/Processes.java
+++ b/lab/src/main/java/mapleroute/lab/drill/Processes.java
@@ -228,7 +228,7 @@
         }
 
         /** What its door says, or nothing where it is not there. */
-        String ask(String call) {
+        public String ask(String call) {
             try (Socket socket = new Socket(host, door)) {
                 socket.setSoTimeout(PATIENCE_MS);
                 socket.getOutputStream().write((call + "\n").getBytes(StandardCharsets.UTF_8));
@@ -294,6 +294,18 @@
         return process.waitFor() + " " + said;
     }
 
+    /** Waits until all have ended, so long in all at most. */
+    public void awaitEnd(long time, TimeUnit unit) throws InterruptedException {
+        long until = System.nanoTime() + unit.toNanos(time);
+        List<Process> all;
+        synchronized (processes) {
+            all = List.copyOf(processes);
+        }
+        for (Process each : all) {
+            each.waitFor(Math.max(0, until - System.nanoTime()), TimeUnit.NANOSECONDS);
+        }
+    }
+
     /** Ends all at once. */
     @Override
     public void close() {
