--- a/lab/src/main/java/mapleroute/lab/ScaleCompareCommand.java
+++ b/lab/src/main/java/mapleroute/lab/ScaleCompareCommand.java
@@ -41,8 +41,8 @@
         ScaleResults after = ScaleResults.read(second);
         List<String> lines = ScaleFleetReport.lines(before, after);
         if (lines.isEmpty()) {
-            throw new IllegalArgumentException(first + " and " + second + " have no figure in common: the same"
-                + " key and size");
+            throw new IllegalArgumentException(first + " and " + second + " have no figure in common, of the"
+                + " same key and size");
         }
         PrintWriter terminal = spec.commandLine().getOut();
         lines.forEach(terminal::println);
--- a/lab/src/main/java/mapleroute/lab/ScaleFleetCommand.java
+++ b/lab/src/main/java/mapleroute/lab/ScaleFleetCommand.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import mapleroute.lab.report.ScaleFleetReport;
 import mapleroute.lab.report.ScaleResults;
@@ -39,7 +40,6 @@
     /** Of the planned size and its parts, and beyond it. */
     private static final List<Integer> SIZES = List.of(54, 108, 215, 430, 860, 1720);
     private static final int PLAIN = 2;
-    private static final long TELL_MS = 1000;
 
     /** Reads {@code 30s}, {@code 250ms} or {@code 2m}. */
     static final class Time implements ITypeConverter<Duration> {
@@ -121,7 +121,8 @@
         PrintWriter terminal = json ? spec.commandLine().getErr() : spec.commandLine().getOut();
         long began = System.nanoTime();
         Consumer<String> tell = line -> {
-            terminal.printf(Locale.ROOT, "%5d s  %s%n", (System.nanoTime() - began) / 1_000_000 / TELL_MS, line);
+            terminal.printf(Locale.ROOT, "%5d s  %s%n",
+                TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - began), line);
             terminal.flush();
         };
         List<String> faults = new ArrayList<>();
--- a/lab/src/main/java/mapleroute/lab/drill/Processes.java
+++ b/lab/src/main/java/mapleroute/lab/drill/Processes.java
@@ -151,7 +151,8 @@
 
         private String fleet(String more) {
             return "\"fleet\":{\"name\":\"" + fleetName + "\",\"listen\":\"" + address()
-                + "\",\"seeds\":[\"" + host + ":" + seedPort + "\"]" + (zone.isEmpty() ? "" : ",\"zone\":\"" + zone + "\"") + more + "}";
+                + "\",\"seeds\":[\"" + host + ":" + seedPort + "\"]"
+                + (zone.isEmpty() ? "" : ",\"zone\":\"" + zone + "\"") + more + "}";
         }
 
         /** The keepers' names as JSON. */
--- a/lab/src/main/java/mapleroute/lab/scale/Bounds.java
+++ b/lab/src/main/java/mapleroute/lab/scale/Bounds.java
@@ -23,7 +23,7 @@
     private Bounds() {
     }
 
-    /** The heap that a hollow process of so many members is allowed, in MB: a member's view grows with size. */
+    /** The heap that a hollow process of so many members may take, in MB: a member's view grows with size. */
     static int hollowHeapMb(int members, int size) {
         return HOLLOW_MB + (int) Math.ceil(members * (1 + size / 1000.0));
     }
--- a/lab/src/main/java/mapleroute/lab/scale/HollowAnswers.java
+++ b/lab/src/main/java/mapleroute/lab/scale/HollowAnswers.java
@@ -68,8 +68,9 @@
      * @param heldSightings what it holds of servers by word of others
      * @param heldServers what discovery told it of
      */
-    record Counters(String name, int present, long datagramsOut, long datagramsIn, long bytesOut, long bytesIn,
-            long bytesOutFar, Map<String, Long> riders, int heldMembers, int heldSightings, int heldServers) {
+    record Counters(String name, int present, long datagramsOut, long datagramsIn, long bytesOut,
+            long bytesIn, long bytesOutFar, Map<String, Long> riders, int heldMembers, int heldSightings,
+            int heldServers) {
 
         private static Counters of(JsonNode member) {
             Map<String, Long> riders = new TreeMap<>();
--- a/lab/src/main/java/mapleroute/lab/scale/HollowProcess.java
+++ b/lab/src/main/java/mapleroute/lab/scale/HollowProcess.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -37,7 +36,7 @@
     HollowProcess(Processes.Part part, List<Places.Member> members) {
         this.part = part;
         this.members = members;
-        names = members.stream().map(Places.Member::name).collect(Collectors.toCollection(LinkedHashSet::new));
+        names = members.stream().map(Places.Member::name).collect(Collectors.toSet());
     }
 
     /**
@@ -50,7 +49,7 @@
     void start(Path jar, int heapMb, JsonNode config) throws IOException {
         Path file = Files.write(part.logFile().resolveSibling(part.name() + ".json"),
             JSON.writerWithDefaultPrettyPrinter().writeValueAsBytes(config));
-        // As the run line's compiler, so that processor time compares; pauses short, as members tell the time.
+        // As the run line's compiler, so that processor time compares; pauses short, as members see time.
         part.start(new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
             "-XX:+UseG1GC", "-XX:ParallelGCThreads=2", "-XX:ConcGCThreads=1", "-Xmx" + heapMb + "m",
             "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-cp", jar.toString(), MAIN, file.toString()), "");
--- a/lab/src/main/java/mapleroute/lab/scale/Places.java
+++ b/lab/src/main/java/mapleroute/lab/scale/Places.java
@@ -96,7 +96,8 @@
 
     /** The members of a rack. */
     List<Member> of(String zone, int rack) {
-        return members.stream().filter(member -> member.zone().equals(zone) && member.rack() == rack).toList();
+        return members.stream().filter(member -> member.zone().equals(zone) && member.rack() == rack)
+            .toList();
     }
 
     /** How many hollow members call a service. */
--- a/lab/src/main/java/mapleroute/lab/scale/ScaleFleet.java
+++ b/lab/src/main/java/mapleroute/lab/scale/ScaleFleet.java
@@ -27,7 +27,8 @@
 
 /**
  * The processes of a scale run at one size: hollow members, real sidecars, sidecars without a fleet, keepers
- * and discovery. Members may be started and ended, and the fleet closed, from any thread; all else is for one.
+ * and discovery. Members may be started and ended, and the fleet closed, from any thread; all else is for
+ * one.
  */
 final class ScaleFleet implements AutoCloseable {
 
@@ -68,8 +69,8 @@
         for (int i = 0; i < places.services(); i++) {
             lists.add(new ArrayList<>());
         }
-        places.members().forEach(member -> lists.get(member.service()).add(new ListServer.Server(member.name(),
-            member.address() + ":" + NODO_PORT, member.zone())));
+        places.members().forEach(member -> lists.get(member.service()).add(
+            new ListServer.Server(member.name(), member.address() + ":" + NODO_PORT, member.zone())));
         discovery = new ListServer(Places.REAL_HOST, List.copyOf(Places.REGIONS.keySet()), lists);
     }
 
@@ -152,7 +153,8 @@
             .put("hard-limit-ms", 1000);
         settings.putArray("projects").addObject().put("name", "t1").put("allowance-per-s", 1000)
             .put("share", 1);
-        settings.putObject("limits").put("dial-timeout-ms", 200).put("idle-close-ms", 15000).put("try-limit", 3);
+        settings.putObject("limits").put("dial-timeout-ms", 200).put("idle-close-ms", 15000)
+            .put("try-limit", 3);
         settings.putObject("rules");
         return config;
     }
@@ -299,7 +301,8 @@
     /** Whether every member there is sees all others, and holds the same view. */
     boolean isOneView() throws IOException {
         Views views = views();
-        return views.areOne(running.size(), present()) && realsSee(views.digests().keySet().iterator().next());
+        return views.areOne(running.size(), present())
+            && realsSee(views.digests().keySet().iterator().next());
     }
 
     /** Whether a keeper leads. */
--- a/lab/src/main/java/mapleroute/lab/scale/ScaleRun.java
+++ b/lab/src/main/java/mapleroute/lab/scale/ScaleRun.java
@@ -199,7 +199,8 @@
     private void traffic(String key) throws IOException {
         traffic.look(fleet.stats(), System.nanoTime());
         figures.peak(key + ".sidecar.bytes_out.peak", "B/s", traffic.worst().values());
-        figures.add(key + ".fleet.bytes_out.peak", "B/s", traffic.worstOfAll(), "all hollow members together");
+        figures.add(key + ".fleet.bytes_out.peak", "B/s", traffic.worstOfAll(),
+            "all hollow members together");
         figures.add(key + ".discovery.requests.peak", "1/s", fleet.discovery().counts().peak());
         traffic = null;
     }
@@ -324,6 +325,12 @@
         Map<Integer, List<String>> all = new TreeMap<>();
         places.members().forEach(member -> all.putIfAbsent(member.service(), List.of(member.name())));
         lists("config.discovery", all, places.members().size());
+        if (!fleet.real().isEmpty()) {
+            settings();
+        }
+    }
+
+    private void settings() throws IOException, InterruptedException {
         List<Double> seconds = new ArrayList<>();
         for (int by = 1; by >= 0; by--) {
             Map<Part, Long> before = new LinkedHashMap<>();
--- a/lab/src/main/java/mapleroute/lab/scale/ScaleSetup.java
+++ b/lab/src/main/java/mapleroute/lab/scale/ScaleSetup.java
@@ -10,7 +10,7 @@
  * @param root of the repository, with the programs built
  * @param sidecar the command that becomes a real sidecar
  * @param logs where configurations and logs go, a folder for each size
- * @param real sidecars that are members; 1 or more, as they are the seeds
+ * @param real sidecars that are members; they and the keepers are the seeds
  * @param plain sidecars without a fleet, to compare with
  * @param keepers 0, 3 or 5
  * @param perProcess hollow members in a process
@@ -22,9 +22,9 @@
  * @param patience how long one view, or anything else that is waited for, may take
  * @param seed draws who is killed and when
  */
-public record ScaleSetup(Path root, String sidecar, Path logs, int real, int plain, int keepers, int perProcess,
-        List<Phase> phases, Duration settle, Duration idle, Duration day, Duration regionCut, Duration patience,
-        long seed) {
+public record ScaleSetup(Path root, String sidecar, Path logs, int real, int plain, int keepers,
+        int perProcess, List<Phase> phases, Duration settle, Duration idle, Duration day, Duration regionCut,
+        Duration patience, long seed) {
 
     /** What a run plays; the start is always played. */
     public enum Phase {
@@ -46,12 +46,16 @@
 
     /** Refuses what cannot be played, in one line. */
     public ScaleSetup {
-        if (real < 1 || plain < 0 || perProcess < 1) {
-            throw new IllegalArgumentException("--real and --per-process must be 1 or more, --plain 0 or more");
+        if (real < 0 || plain < 0 || perProcess < 1) {
+            throw new IllegalArgumentException("--real must be 0 or more, --per-process 1 or more");
         }
         if (keepers != 0 && keepers != 3 && keepers != 5) {
             throw new IllegalArgumentException("--keepers must be 0, 3 or 5 but is " + keepers);
         }
+        if (real + keepers == 0) {
+            throw new IllegalArgumentException("--real and --keepers must not both be 0: hollow members join"
+                + " by them");
+        }
         for (Duration time : List.of(idle, day, regionCut, patience)) {
             if (time.toMillis() < 1000) {
                 throw new IllegalArgumentException("a time must be 1s or more but is " + time.toMillis()
--- a/sidecar/src/main/java/mapleroute/sidecar/HollowConfig.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/HollowConfig.java
@@ -32,7 +32,8 @@
 
     private static final Set<String> KEYS = Set.of("name", "door", "threads", "log", "fleet", "sidecar",
         "network", "members");
-    private static final Set<String> MEMBER_KEYS = Set.of("name", "address", "service", "duties");
+    private static final Set<String> MEMBER_KEYS = Set.of("name", "address", "service", "duties",
+        "discovery");
     private static final int MOST_THREADS = 64;
     private static final int MOST_MEMBERS = 10_000;
 
@@ -42,8 +43,9 @@
      * @param address that it sends from and listens at; the port is any that is free
      * @param service what it says as its tier, or null
      * @param duties those that it wants, or null
+     * @param discovery where it asks for its list, or null for where all do
      */
-    record Member(String name, InetAddress address, String service, Map<?, ?> duties) {
+    record Member(String name, InetAddress address, String service, Map<?, ?> duties, String discovery) {
     }
 
     /** Reads the file; anything missing or bad is an exception whose message names field and value. */
@@ -102,7 +104,9 @@
             }
             members.add(new Member(name, ip,
                 member.get("service") == null ? null : text("members[].service", member.get("service")),
-                member.get("duties") == null ? null : map("members[].duties", member.get("duties"))));
+                member.get("duties") == null ? null : map("members[].duties", member.get("duties")),
+                member.get("discovery") == null ? null
+                    : text("members[].discovery", member.get("discovery"))));
         }
         return List.copyOf(members);
     }
@@ -151,6 +155,9 @@
         whole.put("listen", listen);
         whole.put("seed", Long.toHexString(new SplittableRandom(member.name().hashCode()).nextLong()));
         whole.put("fleet", section);
+        if (member.discovery() != null) {
+            whole.put("discovery", member.discovery());
+        }
         if (sidecar.get("settings") instanceof Map<?, ?> settings
                 && settings.get("azs") instanceof List<?> zones && zones.contains(zone)) {
             Map<Object, Object> own = new LinkedHashMap<>(settings);
