--- a/lab/src/main/java/mapleroute/lab/scale/ScaleRun.java
+++ b/lab/src/main/java/mapleroute/lab/scale/ScaleRun.java
@@ -207,17 +207,41 @@
 
     // ---- counters ----
 
-    private Mark mark() throws IOException {
+    /** The first mark of a time: doors are asked before processor time counts, as answering costs some. */
+    private Mark begin() throws IOException {
+        Map<Part, Map<String, Long>> bytes = bytes();
+        Stats stats = fleet.stats();
+        return new Mark(System.nanoTime(), stats, fleet.discovery().counts(), cpu(), bytes);
+    }
+
+    /** The last mark of a time: doors are asked when processor time counts no more. */
+    private Mark end() throws IOException {
+        Map<Part, Double> cpu = cpu();
+        ListServer.Counts discovery = fleet.discovery().counts();
+        long nanos = System.nanoTime();
+        return new Mark(nanos, fleet.stats(), discovery, cpu, bytes());
+    }
+
+    private List<Part> real() {
+        List<Part> all = new ArrayList<>(fleet.real());
+        all.addAll(fleet.plain());
+        all.addAll(fleet.keepers());
+        return all;
+    }
+
+    private Map<Part, Double> cpu() {
         Map<Part, Double> cpu = new LinkedHashMap<>();
+        real().forEach(part -> cpu.put(part, part.process().info().totalCpuDuration()
+            .map(time -> time.toNanos() / NANOS).orElse(0.0)));
+        return cpu;
+    }
+
+    private Map<Part, Map<String, Long>> bytes() throws IOException {
         Map<Part, Map<String, Long>> bytes = new LinkedHashMap<>();
-        for (List<Part> role : List.of(fleet.real(), fleet.plain(), fleet.keepers())) {
-            for (Part part : role) {
-                cpu.put(part, part.process().info().totalCpuDuration().map(time -> time.toNanos() / NANOS)
-                    .orElse(0.0));
-                bytes.put(part, ScaleFleet.bytes(part));
-            }
+        for (Part part : real()) {
+            bytes.put(part, ScaleFleet.bytes(part));
         }
-        return new Mark(System.nanoTime(), fleet.stats(), fleet.discovery().counts(), cpu, bytes);
+        return bytes;
     }
 
     /** The figures of all roles between two marks. */
@@ -302,9 +326,9 @@
 
     private void idle() throws IOException, InterruptedException {
         step("idle: %d s in which nothing happens", setup.idle().toSeconds());
-        Mark from = mark();
+        Mark from = begin();
         pass(setup.idle().toMillis());
-        Mark to = mark();
+        Mark to = end();
         figures("idle", from, to);
         List<Counters> members = List.copyOf(to.stats().members().values());
         figures.spread("idle.sidecar.members", "count", members.stream().map(m -> (double) m.heldMembers())
@@ -439,7 +463,7 @@
         }
         events.sort(Comparator.comparingLong(Event::atMs));
         watchTraffic();
-        Mark from = mark();
+        Mark from = begin();
         ConcurrentLinkedQueue<IOException> failures = new ConcurrentLinkedQueue<>();
         ExecutorService hands = Executors.newFixedThreadPool(HANDS, new DefaultThreadFactory("day", true));
         long last;
@@ -464,7 +488,7 @@
         if (!failures.isEmpty()) {
             throw failures.peek();
         }
-        figures("day", from, mark());
+        figures("day", from, end());
         traffic("day");
         figures.add("day.fleet.restarts", "count", restarts);
         figures.add("day.fleet.failures", "count", FAILURES);
