Watch traffic after a fault until it is quiet, and discovery's news after a cut

Traffic is watched for 8 s more, the time to quiet is told, and so is when all hold what discovery changed meanwhile.

--- a/lab/src/main/java/mapleroute/lab/scale/ScaleRun.java
+++ b/lab/src/main/java/mapleroute/lab/scale/ScaleRun.java
@@ -45,6 +45,10 @@
     private static final int HANDS = 8;
     /** Changes to discovery's lists, each there and back. */
     private static final int ROUNDS = 3;
+    /** Quiet is a second in which all together send at most so many times what they send when idle. */
+    private static final double QUIET = 1.5;
+    /** Traffic is watched for so long after a fault is over: sidecars lost discovery for up to 5 s. */
+    private static final long TAIL_MS = 8000;
     private static final String LOST_ZONE = "z2";
     private static final Map<String, String> RIDERS = Map.of("s", "sharing", "l", "loans", "r", "release",
         "d", "duties");
@@ -66,6 +70,8 @@
     private final Consumer<String> tell;
     private final Random random;
     private Traffic traffic;
+    /** Bytes a second of all hollow members together when nothing happens; 0 where that was not played. */
+    private double idleOfAll;
 
     private ScaleRun(ScaleSetup setup, ScaleFleet fleet, Figures figures, Consumer<String> tell) {
         this.setup = setup;
@@ -196,8 +202,21 @@
         traffic.lookIfDue(fleet);
     }
 
-    private void traffic(String key) throws IOException {
-        traffic.look(fleet.stats(), System.nanoTime());
+    /** Writes down what was sent since {@link #watchTraffic}, and when it was as little again as before. */
+    private void traffic(String key, long fromNanos) throws IOException, InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TAIL_MS);
+        boolean quiet = false;
+        while (System.nanoTime() < until) {
+            pass(LOOK_MS);
+            if (!quiet && traffic.lastOfAll() <= QUIET * idleOfAll) {
+                quiet = true;
+                figures.add(key + ".fleet.quiet", "s", since(fromNanos), "until all hollow members together"
+                    + " sent, in a second, at most " + QUIET + " times what they send when idle");
+            }
+        }
+        if (!quiet && idleOfAll > 0) {
+            step("%s: not quiet %d s after one view", key, TAIL_MS / 1000);
+        }
         figures.peak(key + ".sidecar.bytes_out.peak", "B/s", traffic.worst().values());
         figures.add(key + ".fleet.bytes_out.peak", "B/s", traffic.worstOfAll(),
             "all hollow members together");
@@ -330,6 +349,10 @@
         pass(setup.idle().toMillis());
         Mark to = end();
         figures("idle", from, to);
+        double seconds = (to.nanos() - from.nanos()) / NANOS;
+        idleOfAll = to.stats().members().values().stream().mapToDouble(Counters::bytesOut).sum() / seconds
+            - from.stats().members().values().stream().mapToDouble(Counters::bytesOut).sum() / seconds;
+        figures.add("idle.fleet.bytes_out", "B/s", idleOfAll, "all hollow members together");
         List<Counters> members = List.copyOf(to.stats().members().values());
         figures.spread("idle.sidecar.members", "count", members.stream().map(m -> (double) m.heldMembers())
             .toList());
@@ -346,14 +369,20 @@
         Places.Member first = places.members().get(0);
         lists("config.discovery_one", Map.of(first.service(), List.of(first.name())),
             places.callers(first.service()));
-        Map<Integer, List<String>> all = new TreeMap<>();
-        places.members().forEach(member -> all.putIfAbsent(member.service(), List.of(member.name())));
-        lists("config.discovery", all, places.members().size());
+        lists("config.discovery", oneOfEach(), places.members().size());
         if (!fleet.real().isEmpty()) {
             settings();
         }
     }
 
+    /** One nodo of each service. */
+    private Map<Integer, List<String>> oneOfEach() {
+        Map<Integer, List<String>> all = new TreeMap<>();
+        fleet.places().members().forEach(member -> all.putIfAbsent(member.service(),
+            List.of(member.name())));
+        return all;
+    }
+
     private void settings() throws IOException, InterruptedException {
         List<Double> seconds = new ArrayList<>();
         for (int by = 1; by >= 0; by--) {
@@ -489,11 +518,11 @@
             throw failures.peek();
         }
         figures("day", from, end());
-        traffic("day");
         figures.add("day.fleet.restarts", "count", restarts);
         figures.add("day.fleet.failures", "count", FAILURES);
         figures.add("day.discovery.changes", "count", 2.0 * (restarts + FAILURES));
         oneView("day", last);
+        traffic("day", last);
     }
 
     private void restarts() throws IOException, InterruptedException {
@@ -505,7 +534,7 @@
         figures.add("restart110.fleet.started", "s", since(from), "until the last was told to start");
         step("restart110: %d killed and started at once", names.size());
         oneView("restart110", from);
-        traffic("restart110");
+        traffic("restart110", from);
     }
 
     private void lose(String key, List<Places.Member> lost) throws IOException, InterruptedException {
@@ -521,7 +550,7 @@
         long back = System.nanoTime();
         fleet.startMembers(names);
         oneView(key, back);
-        traffic(key);
+        traffic(key, back);
     }
 
     private void region() throws IOException, InterruptedException {
@@ -546,12 +575,32 @@
             step("region: at the end of the cut a member of %s sees %.0f to %.0f present", region,
                 Collections.min(present), Collections.max(present));
         }
+        // The far side hears of this change only when it is back.
+        Map<Integer, List<String>> all = oneOfEach();
+        long version = fleet.discovery().change(all, ListServer.Phase.TERMINATING);
         watchTraffic();
         fleet.tellAll("mend");
         fleet.discovery().cut(far, false);
         long mended = System.nanoTime();
         figures.add("region.fleet.cut", "s", (mended - from) / NANOS, "shortened: it stands for an hour");
-        oneView("region", mended);
-        traffic("region");
+        double[] held = new double[1];
+        Check isHeld = () -> {
+            if (held[0] == 0 && fleet.views().versions().getOrDefault(version, 0) == fleet.runningHollow()) {
+                held[0] = since(mended);
+            }
+            return held[0] > 0;
+        };
+        double took = await("one view after the cut", mended, LOOK_MS, () -> {
+            isHeld.holds();
+            return fleet.isOneView();
+        });
+        figures.add("region.fleet.one_view", "s", took);
+        await("discovery's news of the time apart is held by all", mended, LOOK_MS, isHeld);
+        figures.add("region.discovery.last", "s", held[0], "from the mending until all hollow members hold"
+            + " what changed while they were apart");
+        step("region: one view of %d members %.1f s after mending, discovery's news with all after %.1f s",
+            fleet.present(), took, held[0]);
+        traffic("region", mended);
+        fleet.discovery().change(all, ListServer.Phase.IN_SERVICE);
     }
 }
--- a/lab/src/main/java/mapleroute/lab/scale/Traffic.java
+++ b/lab/src/main/java/mapleroute/lab/scale/Traffic.java
@@ -17,6 +17,7 @@
 
     private final Map<String, Double> worst = new TreeMap<>();
     private double worstOfAll;
+    private double lastOfAll = Double.POSITIVE_INFINITY;
     private Stats last;
     private long lastNanos;
 
@@ -31,6 +32,7 @@
                 all += rate;
             }
             worstOfAll = Math.max(worstOfAll, all);
+            lastOfAll = all;
         }
         last = now;
         lastNanos = nanos;
@@ -53,6 +55,11 @@
         return worst;
     }
 
+    /** Bytes a second of all hollow members together, in the last second; infinite before there is one. */
+    double lastOfAll() {
+        return lastOfAll;
+    }
+
     /** Bytes a second of all hollow members together, in the worst second. */
     double worstOfAll() {
         return worstOfAll;
--- a/lab/src/test/java/mapleroute/lab/scale/HollowAnswersTest.java
+++ b/lab/src/test/java/mapleroute/lab/scale/HollowAnswersTest.java
@@ -62,10 +62,12 @@
         Traffic traffic = new Traffic();
         long second = 1_000_000_000L;
         traffic.look(stats("h0", 1000), 0);
+        assertEquals(Double.POSITIVE_INFINITY, traffic.lastOfAll());
         traffic.look(stats("h0", 5000).and(stats("h1", 300)), 2 * second);
         traffic.look(stats("h0", 1500).and(stats("h1", 400)), 3 * second);
         assertEquals(Map.of("h0", 2000.0, "h1", 150.0), traffic.worst());
         assertEquals(2150.0, traffic.worstOfAll());
+        assertEquals(1600.0, traffic.lastOfAll());
     }
 
     @Test
