Give virtual fleets places, delays between them and cuts between regions

A fleet over two regions and five zones could not be played. Members of a virtual fleet may now stand at places; the network takes its delays from these and cuts one region from another by direction. Members count what they send and get, and what crosses regions. Without places all is as before.

--- a/lab/src/main/java/mapleroute/lab/fleet/DutyHistory.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/DutyHistory.java
@@ -26,6 +26,10 @@
         }
     }
 
+    /** Somebody had the duty from one moment to another. */
+    record Holding(String name, double fromMs, double untilMs) {
+    }
+
     private final List<String> broken = new ArrayList<>();
     /** The highest state that was told by each moment. */
     private final TreeMap<Double, State> told = new TreeMap<>();
@@ -35,6 +39,8 @@
     private int refused;
     private String believer = "";
     private double freeSince = Double.NaN;
+    private double believerSince;
+    private final List<Holding> holdings = new ArrayList<>();
     private final List<Double> gaps = new ArrayList<>();
 
     private void tell(double now, String line) {
@@ -73,9 +79,24 @@
         } else if (!is.isEmpty() && believer.isEmpty() && !Double.isNaN(freeSince)) {
             gaps.add(now - freeSince);
         }
+        if (!is.equals(believer)) {
+            if (!believer.isEmpty()) {
+                holdings.add(new Holding(believer, believerSince, now));
+            }
+            believerSince = now;
+        }
         believer = is;
     }
 
+    /** Who had the duty, one after the other; whoever has it now, until {@code now}. */
+    List<Holding> holdings(double now) {
+        List<Holding> all = new ArrayList<>(holdings);
+        if (!believer.isEmpty()) {
+            all.add(new Holding(believer, believerSince, now));
+        }
+        return all;
+    }
+
     /** An answer that tells a state has come to whoever asked at {@code askedMs}. */
     void answered(double askedMs, double now, long token, long renewal) {
         State state = new State(token, renewal);
--- a/lab/src/main/java/mapleroute/lab/fleet/DutyTrial.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/DutyTrial.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntUnaryOperator;
 import java.util.stream.IntStream;
 import mapleroute.fleet.duty.Command;
 import mapleroute.fleet.duty.DutyClient;
@@ -65,6 +66,9 @@
 
     private final FleetPlan plan;
     private final Seeded seeded;
+    private final int keeperCount;
+    /** By a member's number, how much it wants the duty: the lowest goes first. */
+    private final IntUnaryOperator preference;
     private final VirtualTime time = new VirtualTime();
     private final VirtualFleet fleet;
     private final SplittableRandom random;
@@ -74,12 +78,15 @@
     private final Map<Integer, Process> processes = new TreeMap<>();
     private final double startMs = time.now();
 
-    private DutyTrial(FleetPlan plan, Seeded seeded) {
+    private DutyTrial(FleetPlan plan, Seeded seeded, int keeperCount, IntUnaryOperator preference,
+            Places places) {
         this.plan = plan;
         this.seeded = seeded;
+        this.keeperCount = keeperCount;
+        this.preference = preference;
         random = new SplittableRandom(plan.seed() * 17 + 3);
         fleet = new VirtualFleet(plan, Tuning.DEFAULT, true, Interposer.NONE, (now, at, before, is) -> { },
-            this::process, time);
+            this::process, time, places);
     }
 
     /** A plan for keepers and others, drawn by a seed. */
@@ -89,12 +96,39 @@
 
     /** Plays a plan, whose first five members are keepers. */
     public static Outcome play(FleetPlan plan, Seeded seeded) {
-        DutyTrial trial = new DutyTrial(plan, seeded);
-        return trial.play();
+        return new DutyTrial(plan, seeded, KEEPERS, number -> number % 3, Places.NONE).play();
     }
 
-    private static List<String> keepers() {
-        return IntStream.range(0, KEEPERS).mapToObj(i -> "m" + i).toList();
+    /**
+     * Plays keepers and others at places while two regions are apart.
+     *
+     * @param keepers so many of the members are keepers, the first ones
+     * @param cutAt when the regions r1 and r2 lose each other, in milliseconds; other regions lose none
+     * @param afterMs how long is played on when they have found each other
+     * @return who had the duty; broken promises
+     */
+    static Apart playApart(FleetPlan plan, int keepers, IntUnaryOperator preference, Places places,
+            double cutAt, double lasts, double afterMs) {
+        DutyTrial trial = new DutyTrial(plan, Seeded.NONE, keepers, preference, places);
+        trial.time.after(cutAt, () -> trial.cut(true));
+        trial.time.after(cutAt + lasts, () -> trial.cut(false));
+        trial.time.after(0, trial::watch);
+        double end = cutAt + lasts + afterMs;
+        trial.fleet.play(end);
+        return new Apart(trial.history.holdings(end), trial.history.broken());
+    }
+
+    /** How a play of regions apart went. */
+    record Apart(List<DutyHistory.Holding> holdings, List<String> broken) {
+    }
+
+    private void cut(boolean isCut) {
+        fleet.cut("r1", "r2", isCut);
+        fleet.cut("r2", "r1", isCut);
+    }
+
+    private List<String> keepers() {
+        return IntStream.range(0, keeperCount).mapToObj(i -> "m" + i).toList();
     }
 
     private Rider process(VirtualFleet.Node node) {
@@ -102,7 +136,7 @@
         if (before != null) {
             before.ended = true;
         }
-        Process process = node.number < KEEPERS ? new Keeper(node) : new Holder(node);
+        Process process = node.number < keeperCount ? new Keeper(node) : new Holder(node);
         processes.put(node.number, process);
         // It begins once its membership is there.
         time.after(0, () -> process.guarded(process::begin));
@@ -235,11 +269,11 @@
             client = new DutyClient(terms, node.name, random.nextLong() >>> 1, keepers(), random.split(),
                 this);
             riders.with(DutyCodec.LETTER, this);
-            client.want(node.clock(), DUTY, node.number % 3);
+            client.want(node.clock(), DUTY, preference.applyAsInt(node.number));
             every(ADVANCE_MS, () -> client.advance(node.clock()));
             every(EFFECT_MS, this::act);
             every(LOOK_MS, () -> {
-                String keeper = keepers().get(random.nextInt(KEEPERS));
+                String keeper = keepers().get(random.nextInt(keeperCount));
                 long sequence = ask(keeper, DutyCodec.LETTER, DutyCodec.question(new DutyClient.Question(
                     keeper, new Command(Command.Kind.LOOK, DUTY, node.name, 0, 0, 0), 0)));
                 asked.put(sequence, time.now());
--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/fleet/Meter.java
@@ -0,0 +1,106 @@
+package mapleroute.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import java.util.function.ToLongFunction;
+import org.apache.commons.math3.stat.descriptive.DescriptiveStatistics;
+
+/** Counts what members send and get between two moments, and by the second. */
+final class Meter {
+
+    private static final double LOW = 1;
+    private static final double HIGH = 99;
+
+    /**
+     * A rate over members.
+     *
+     * @param low the 1st part in a hundred of the members
+     * @param high the 99th
+     */
+    record Rate(double mean, double low, double high, double most) {
+    }
+
+    /** What all sent in a second, in bytes: together, the one that sent most, and to another region. */
+    record Second(double at, long all, long most, long far) {
+    }
+
+    private static final List<ToLongFunction<VirtualFleet.Traffic>> KINDS = List.of(t -> t.bytesOut,
+        t -> t.messagesOut, t -> t.bytesIn, t -> t.messagesIn, t -> t.farBytesOut, t -> t.farMessagesOut);
+
+    /** What can be asked for. */
+    enum Of { BYTES_OUT, MESSAGES_OUT, BYTES_IN, MESSAGES_IN, FAR_BYTES_OUT, FAR_MESSAGES_OUT }
+
+    private final VirtualFleet fleet;
+    private double fromMs;
+    private long[][] from;
+    private long[] bytes;
+    private long[] far;
+
+    Meter(VirtualFleet fleet) {
+        this.fleet = fleet;
+        begin();
+        bytes = row(Of.BYTES_OUT);
+        far = row(Of.FAR_BYTES_OUT);
+    }
+
+    private long[] row(Of of) {
+        return fleet.nodes().stream().mapToLong(node -> KINDS.get(of.ordinal()).applyAsLong(node.traffic))
+            .toArray();
+    }
+
+    /** Rates are counted from now on. */
+    void begin() {
+        fromMs = fleet.now();
+        from = new long[Of.values().length][];
+        for (Of of : Of.values()) {
+            from[of.ordinal()] = row(of);
+        }
+    }
+
+    /** By the second since {@link #begin}, over members. */
+    Rate rate(Of of) {
+        double seconds = (fleet.now() - fromMs) / 1000;
+        long[] now = row(of);
+        DescriptiveStatistics all = new DescriptiveStatistics();
+        for (int i = 0; i < now.length; i++) {
+            all.addValue((now[i] - from[of.ordinal()][i]) / seconds);
+        }
+        return new Rate(all.getMean(), all.getPercentile(LOW), all.getPercentile(HIGH), all.getMax());
+    }
+
+    /** The rate of one member since {@link #begin}. */
+    double rate(Of of, int member) {
+        return (row(of)[member] - from[of.ordinal()][member]) / ((fleet.now() - fromMs) / 1000);
+    }
+
+    /** What was sent since the last call, which was a second ago. */
+    Second second() {
+        long[] nowBytes = row(Of.BYTES_OUT);
+        long[] nowFar = row(Of.FAR_BYTES_OUT);
+        long all = 0;
+        long most = 0;
+        long farAll = 0;
+        for (int i = 0; i < nowBytes.length; i++) {
+            all += nowBytes[i] - bytes[i];
+            most = Math.max(most, nowBytes[i] - bytes[i]);
+            farAll += nowFar[i] - far[i];
+        }
+        bytes = nowBytes;
+        far = nowFar;
+        return new Second(fleet.now() / 1000, all, most, farAll);
+    }
+
+    /** Points for a plot: of each ten seconds the most. */
+    static List<double[]> points(List<Second> seconds, ToDoubleFunction<Second> of) {
+        List<double[]> points = new ArrayList<>();
+        for (int i = 0; i < seconds.size(); i += 10) {
+            double most = 0;
+            for (Second each : seconds.subList(i, Math.min(seconds.size(), i + 10))) {
+                most = Math.max(most, of.applyAsDouble(each));
+            }
+            points.add(new double[] {seconds.get(i).at(), most});
+        }
+        return points;
+    }
+}
--- a/lab/src/main/java/mapleroute/lab/fleet/Net.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/Net.java
@@ -1,6 +1,7 @@
 package mapleroute.lab.fleet;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -10,6 +11,8 @@
     /** Within a zone and across, as the sites' figures go: some tenths to some milliseconds. */
     private static final double LEAST_MS = 0.1;
     private static final double SPREAD_MS = 5;
+    /** Where members have places, up to this part of the way's delay is added at random. */
+    private static final double JITTER = 0.2;
     /** A connection's handshake is a way there and back before what it carries. */
     private static final int HANDSHAKE_WAYS = 2;
     /** What TCP waits before it sends again: first for a handshake (RFC 6298), then on a short way. */
@@ -20,26 +23,51 @@
 
     private final SplittableRandom random;
     private final double loss;
-    private final List<Fault> now = new ArrayList<>();
+    private final Places places;
+    /** Whether nothing passes from one region to another, by their numbers. */
+    private final boolean[][] cut;
+    private final List<Trouble> now = new ArrayList<>();
 
-    Net(SplittableRandom random, double loss) {
+    /** A fault of now; whom it strikes is looked up for each message. */
+    private record Trouble(Fault fault, BitSet struck) {
+    }
+
+    Net(SplittableRandom random, double loss, Places places) {
         this.random = random;
         this.loss = loss;
+        this.places = places;
+        cut = new boolean[places.regions()][places.regions()];
     }
 
     void begin(Fault fault) {
-        now.add(fault);
+        BitSet struck = new BitSet();
+        fault.who().forEach(struck::set);
+        now.add(new Trouble(fault, struck));
     }
 
     void end(Fault fault) {
-        now.remove(fault);
+        for (int i = 0; i < now.size(); i++) {
+            if (now.get(i).fault().equals(fault)) {
+                now.remove(i);
+                return;
+            }
+        }
+    }
+
+    /** From now on nothing passes from a region to another, or all does again. */
+    void cut(String from, String to, boolean isCut) {
+        cut[places.region(from)][places.region(to)] = isCut;
     }
 
     /** Whether anything passes this way. */
     boolean passes(int from, int to) {
-        for (Fault fault : now) {
-            boolean fromStruck = fault.who().contains(from);
-            boolean toStruck = fault.who().contains(to);
+        if (!places.isNone() && cut[places.region(from)][places.region(to)]) {
+            return false;
+        }
+        for (Trouble each : now) {
+            Fault fault = each.fault();
+            boolean fromStruck = each.struck().get(from);
+            boolean toStruck = each.struck().get(to);
             boolean cut = switch (fault.kind()) {
                 case PARTITION -> fromStruck != toStruck;
                 case MUTE -> fromStruck && !toStruck;
@@ -66,7 +94,8 @@
         double lost = loss;
         double twice = 0;
         double later = 0;
-        for (Fault fault : now) {
+        for (Trouble each : now) {
+            Fault fault = each.fault();
             switch (fault.kind()) {
                 case LOSS -> lost = 1 - (1 - lost) * (1 - fault.value());
                 case DUPLICATION -> twice = Math.max(twice, fault.value());
@@ -76,7 +105,7 @@
             }
         }
         if (whole) {
-            double ms = way(later) * (1 + HANDSHAKE_WAYS);
+            double ms = way(from, to, later) * (1 + HANDSHAKE_WAYS);
             for (int way = 0; way <= HANDSHAKE_WAYS && lost > 0; way++) {
                 double again = way < HANDSHAKE_WAYS ? HANDSHAKE_AGAIN_MS : AGAIN_MS;
                 int tries = 0;
@@ -93,11 +122,16 @@
         if (random.nextDouble() < lost) {
             return new double[0];
         }
-        return twice > 0 && random.nextDouble() < twice ? new double[] {way(later), way(later)}
-            : new double[] {way(later)};
+        return twice > 0 && random.nextDouble() < twice
+            ? new double[] {way(from, to, later), way(from, to, later)}
+            : new double[] {way(from, to, later)};
     }
 
-    private double way(double later) {
-        return LEAST_MS + random.nextDouble() * (SPREAD_MS + later);
+    private double way(int from, int to, double later) {
+        if (places.isNone()) {
+            return LEAST_MS + random.nextDouble() * (SPREAD_MS + later);
+        }
+        double ms = places.ms(from, to);
+        return ms + random.nextDouble() * (ms * JITTER + later);
     }
 }
--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/fleet/ReleaseCut.java
@@ -0,0 +1,202 @@
+package mapleroute.lab.fleet;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import mapleroute.fleet.member.Profile;
+import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.member.Tuning;
+import mapleroute.fleet.member.View;
+import mapleroute.fleet.release.Conductor;
+import mapleroute.fleet.release.Plan;
+import mapleroute.fleet.release.Stager;
+import mapleroute.fleet.wire.Riders;
+import mapleroute.fleet.wire.StageRider;
+import mapleroute.lab.virtual.VirtualTime;
+
+/**
+ * A release while the regions are apart: its conductor in the larger one, with no calls, so that its stage
+ * stays. What the conductor sends, and how long the stage holds in the other region.
+ */
+public final class ReleaseCut {
+
+    private static final double SETTLED_MS = 60_000;
+    private static final double COUNTED_MS = 60_000;
+    private static final double STEP_MS = 100;
+    /** As the product's conductor does: it asks all each second, and decides ten times a second. */
+    private static final double POLL_MS = 1000;
+    private static final double AFTER_MS = 180_000;
+    private static final int SEEDS = 3;
+    private static final int CONDUCTOR = 0;
+    private static final double PART = 0.25;
+    private static final Plan PLAN = new Plan("cut", "new", List.of(), List.of(PART, 1.0), 5000, 100, 0.1, 0.1,
+        0.01, true);
+
+    private final int size;
+    private final Places places;
+    private final VirtualTime time = new VirtualTime();
+    private final VirtualFleet fleet;
+    private final SplittableRandom random;
+    private final Map<Integer, Stager> stagers = new TreeMap<>();
+    private final Map<Long, String> polled = new HashMap<>();
+    private Conductor conductor;
+
+    private ReleaseCut(int size, long seed, Places.Delays delays) {
+        this.size = size;
+        random = new SplittableRandom(seed * 313 + 5);
+        places = Places.planned(size, delays);
+        fleet = new VirtualFleet(new FleetPlan(size, seed, 5000, SEEDS, 0, List.of()), Tuning.DEFAULT, true,
+            Interposer.NONE, (now, at, before, is) -> { }, this::riders, time, places);
+    }
+
+    private Rider riders(VirtualFleet.Node node) {
+        Stager stager = new Stager();
+        stagers.put(node.number, stager);
+        return new Riders().with(StageRider.LETTER, new StageRider(stager, random.nextLong() >>> 1) {
+            @Override
+            public void told(double now, String from, long sequence, ByteBuffer answer) {
+                if (conductor != null && from.equals(polled.remove(sequence))) {
+                    try {
+                        StageRider.Report report = StageRider.report(answer);
+                        conductor.report(now, from, node.membership.held(from).profile().zone(), report.run(),
+                            report.tally());
+                    } catch (IOException e) {
+                        throw new IllegalStateException("what is written can be read", e);
+                    }
+                }
+            }
+        });
+    }
+
+    /** Plays one with a cut of so long; the stage lapses and ends only where that is longer than its bounds. */
+    public static TrialOutcome play(int size, double cutMs, long seed, Places.Delays delays) {
+        return new ReleaseCut(size, seed, delays).play(cutMs);
+    }
+
+    private VirtualFleet.Node conducting() {
+        return fleet.nodes().get(CONDUCTOR);
+    }
+
+    private void poll() {
+        VirtualFleet.Node node = conducting();
+        double now = node.clock();
+        polled.clear();
+        for (View.Member member : node.membership.view(now).members()) {
+            Profile profile = member.held().profile();
+            if (member.held().state().isPresent() && profile != null && !member.held().name().equals(node.name)) {
+                polled.put(node.membership.ask(now, member.held().name(), Riders.wrapped(StageRider.LETTER,
+                    StageRider.question())), member.held().name());
+            }
+        }
+        node.plan();
+        time.after(POLL_MS, this::poll);
+    }
+
+    private void decide() {
+        VirtualFleet.Node node = conducting();
+        conductor.advance(node.clock(), (int) node.membership.view(node.clock()).present() - 1);
+        time.after(STEP_MS, this::decide);
+    }
+
+    private double part(int member) {
+        return stagers.get(member).part(fleet.nodes().get(member).clock());
+    }
+
+    private boolean holds(int member) {
+        return stagers.get(member).stage(fleet.nodes().get(member).clock()) != null;
+    }
+
+    private TrialOutcome play(double cutMs) {
+        TrialOutcome outcome = new TrialOutcome();
+        List<Integer> far = places.in("r2");
+        fleet.play(SETTLED_MS);
+        Meter meter = new Meter(fleet);
+        fleet.play(fleet.now() + COUNTED_MS);
+        double messages = meter.rate(Meter.Of.MESSAGES_OUT, CONDUCTOR);
+        double bytes = meter.rate(Meter.Of.BYTES_OUT, CONDUCTOR);
+        double bytesIn = meter.rate(Meter.Of.BYTES_IN, CONDUCTOR);
+        VirtualFleet.Node node = conducting();
+        Stager own = stagers.get(CONDUCTOR);
+        conductor = new Conductor(node.clock(), PLAN, 1, null, stage -> own.hear(node.clock(), stage, 0),
+            line -> { });
+        poll();
+        decide();
+        double begun = fleet.now();
+        boolean toldAll = false;
+        while (!toldAll && fleet.now() < begun + COUNTED_MS) {
+            fleet.play(fleet.now() + STEP_MS);
+            toldAll = stagers.keySet().stream().allMatch(member -> part(member) == PART);
+        }
+        if (toldAll) {
+            outcome.add("release.stage.known", "s", size, (fleet.now() - begun) / 1000);
+        } else {
+            outcome.findings().add("size " + size + ": the first stage was not known to all within "
+                + COUNTED_MS / 1000 + " s");
+        }
+        meter.begin();
+        fleet.play(fleet.now() + COUNTED_MS);
+        // What it sends more than the same member did before it conducted.
+        outcome.add("release.conductor.messages_out", "1/s", size,
+            meter.rate(Meter.Of.MESSAGES_OUT, CONDUCTOR) - messages);
+        outcome.add("release.conductor.bytes_out", "B/s", size,
+            meter.rate(Meter.Of.BYTES_OUT, CONDUCTOR) - bytes);
+        outcome.add("release.conductor.bytes_in", "B/s", size,
+            meter.rate(Meter.Of.BYTES_IN, CONDUCTOR) - bytesIn);
+        cut(true);
+        double from = fleet.now();
+        double[] lapsed = {Double.NaN, Double.NaN};
+        double[] ended = {Double.NaN, Double.NaN};
+        long nearWithout = 0;
+        while (fleet.now() < from + cutMs) {
+            fleet.play(fleet.now() + STEP_MS);
+            double at = (fleet.now() - from) / 1000;
+            times(lapsed, at, far.stream().filter(member -> part(member) == 0).count(), far.size());
+            times(ended, at, far.stream().filter(member -> !holds(member)).count(), far.size());
+            nearWithout = Math.max(nearWithout, places.in("r1").stream().filter(member -> part(member) == 0)
+                .count());
+        }
+        told(outcome, "release.cut.lapse", lapsed);
+        told(outcome, "release.cut.end", ended);
+        outcome.add("release.cut.near_lapsed", "count", size, nearWithout);
+        cut(false);
+        double mended = fleet.now();
+        boolean back = false;
+        while (!back && fleet.now() < mended + AFTER_MS) {
+            fleet.play(fleet.now() + STEP_MS);
+            back = far.stream().allMatch(member -> part(member) > 0);
+        }
+        if (back) {
+            outcome.add("release.cut.back", "s", size, (fleet.now() - mended) / 1000);
+        } else {
+            outcome.findings().add("size " + size + ": the stage was not back in r2 within " + AFTER_MS / 1000
+                + " s after the mend; it is " + conductor.stage().phase() + " " + conductor.stage().why());
+        }
+        return outcome;
+    }
+
+    private void cut(boolean isCut) {
+        fleet.cut("r1", "r2", isCut);
+        fleet.cut("r2", "r1", isCut);
+    }
+
+    /** When the first and the last did so. */
+    private static void times(double[] times, double at, long did, int all) {
+        if (did > 0 && Double.isNaN(times[0])) {
+            times[0] = at;
+        }
+        if (did == all && Double.isNaN(times[1])) {
+            times[1] = at;
+        }
+    }
+
+    private void told(TrialOutcome outcome, String key, double[] times) {
+        if (!Double.isNaN(times[1])) {
+            outcome.figures().add(new TrialOutcome.Figure(key, "s", size, times[1], times[0], times[1],
+                places.in("r2").size()));
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/fleet/SharingLoad.java
@@ -0,0 +1,92 @@
+package mapleroute.lab.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.share.Eyes;
+import mapleroute.fleet.share.Sharing;
+import mapleroute.fleet.wire.LoanDesk;
+import mapleroute.fleet.wire.Riders;
+import mapleroute.fleet.wire.SightingRider;
+import mapleroute.lab.virtual.VirtualTime;
+
+/**
+ * One process's shared state at the plan's load: 23,000 calls a second over 430 nodos, services of ten
+ * servers. That each process calls three services, that one call in a hundred fails, and that four tenants
+ * have allowances of nine tenths above what they ask for, is assumed.
+ */
+final class SharingLoad {
+
+    private static final double CALLS_PER_SECOND = 23_000.0 / 430;
+    private static final int SERVERS = 10;
+    private static final int CALLED = 3;
+    private static final double FAILING = 0.01;
+    private static final int TENANTS = 4;
+    private static final double ROOM = 1.9;
+
+    private final VirtualFleet.Node node;
+    private final VirtualTime time;
+    private final SplittableRandom random;
+    private final Sharing sharing;
+    private final Riders riders;
+    private final List<String> servers = new ArrayList<>();
+    private boolean ended;
+
+    /** Begins with nothing seen; {@code size} is how many processes call. */
+    SharingLoad(VirtualFleet.Node node, VirtualTime time, SplittableRandom random, int size) {
+        this.node = node;
+        this.time = time;
+        this.random = random;
+        sharing = new Sharing(node.clock(), node.name, random.nextLong() >>> 1, random.split());
+        riders = new Riders().with("l", new LoanDesk(sharing.shares()))
+            .with("s", new SightingRider(sharing.sightings()));
+        int services = Math.max(1, size / SERVERS);
+        Map<String, Boolean> ready = new HashMap<>();
+        for (int i = 0; i < CALLED; i++) {
+            // Each service calls the same others from all of its processes.
+            int service = (int) Math.floorMod(node.number / SERVERS + 1L + 7L * i, (long) services);
+            for (int server = 0; server < SERVERS; server++) {
+                String id = "s" + service + "-" + server;
+                if (ready.put(id, true) == null) {
+                    servers.add(id);
+                }
+            }
+        }
+        sharing.listed(true, ready);
+        Map<String, Double> allowances = new HashMap<>();
+        for (int tenant = 0; tenant < TENANTS; tenant++) {
+            allowances.put("t" + tenant, CALLS_PER_SECOND * size / TENANTS * ROOM);
+        }
+        sharing.allowances(allowances, size);
+        time.after(random.nextDouble() * Sharing.EVERY_MS, this::advance);
+    }
+
+    Rider riders() {
+        return riders;
+    }
+
+    void end() {
+        ended = true;
+    }
+
+    private void advance() {
+        if (ended || !node.runs()) {
+            return;
+        }
+        double expected = CALLS_PER_SECOND * Sharing.EVERY_MS / 1000;
+        int calls = (int) expected + (random.nextDouble() < expected - (int) expected ? 1 : 0);
+        for (int i = 0; i < calls; i++) {
+            sharing.called("t" + random.nextInt(TENANTS));
+            sharing.saw(servers.get(random.nextInt(servers.size())),
+                random.nextDouble() < FAILING ? Eyes.Fate.ERROR : Eyes.Fate.ANSWERED);
+        }
+        double now = node.clock();
+        sharing.advance(now, () -> node.membership.view(now), question -> node.membership.ask(now,
+            question.lender(), Riders.wrapped("l", LoanDesk.question(question))));
+        node.plan();
+        time.after(Sharing.EVERY_MS, this::advance);
+    }
+}
--- a/lab/src/main/java/mapleroute/lab/fleet/VirtualFleet.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/VirtualFleet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.zip.CRC32C;
 import mapleroute.fleet.member.Membership;
 import mapleroute.fleet.member.Message;
@@ -34,6 +35,17 @@
         void changed(double now, int at, Update before, Update is);
     }
 
+    /** What a member has sent and got since the fleet was made; bytes without the heads of UDP and IP. */
+    static final class Traffic {
+        long messagesOut;
+        long bytesOut;
+        long messagesIn;
+        long bytesIn;
+        /** Of what it sent, that to another region. */
+        long farMessagesOut;
+        long farBytesOut;
+    }
+
     /** One process, or the place where it was. */
     final class Node implements Port {
         final int number;
@@ -43,6 +55,7 @@
         final double ahead = random.nextDouble() * 1e6;
         final double rate = 1 + (random.nextDouble() * 2 - 1) * DRIFT;
         final Deque<Message> waiting = new ArrayDeque<>();
+        final Traffic traffic = new Traffic();
         Membership membership;
         boolean paused;
         boolean startedEver;
@@ -54,7 +67,8 @@
             this.number = number;
             this.profile = profile;
             name = "m" + number;
-            address = "10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255) + ":7000";
+            address = !places.isNone() ? places.address(number)
+                : "10." + (number >> 16) + "." + (number >> 8 & 255) + "." + (number & 255) + ":7000";
         }
 
         double clock() {
@@ -99,6 +113,15 @@
             });
         }
 
+        /** Something has come over the network. */
+        private void arrived(Message message, int length) {
+            if (runs()) {
+                traffic.messagesIn++;
+                traffic.bytesIn += length;
+            }
+            receive(message);
+        }
+
         void receive(Message message) {
             if (paused) {
                 if (waiting.size() < SOCKET_HOLDS) {
@@ -133,9 +156,11 @@
             }
             messages++;
             Message passed = given;
+            int length = 0;
             if (codec != null) {
                 byte[] wire = codec.encode(given);
-                bytes += wire.length;
+                length = wire.length;
+                bytes += length;
                 trace.update(wire, 0, wire.length);
                 longest = whole ? longest : Math.max(longest, wire.length);
                 try {
@@ -144,12 +169,19 @@
                     throw new IllegalStateException("what is written can be read", e);
                 }
             }
+            traffic.messagesOut++;
+            traffic.bytesOut += length;
             if (target == null) {
                 return;
             }
+            if (!places.isNone() && places.region(number) != places.region(target.number)) {
+                traffic.farMessagesOut++;
+                traffic.farBytesOut += length;
+            }
             Message arriving = passed;
+            int arrivingLength = length;
             for (double way : net.ways(number, target.number, whole)) {
-                time.after(way, () -> target.receive(arriving));
+                time.after(way, () -> target.arrived(arriving, arrivingLength));
             }
         }
 
@@ -173,6 +205,7 @@
     private final double startMs;
     private final SplittableRandom random;
     private final Tuning tuning;
+    private final Places places;
     private final Net net;
     private final MessageCodec codec;
     private final Interposer interposer;
@@ -204,22 +237,33 @@
     /** The same on a clock that others use too; members may join later. */
     VirtualFleet(FleetPlan plan, Tuning tuning, boolean encoded, Interposer interposer, Watcher watcher,
             Function<Node, Rider> riders, VirtualTime time) {
+        this(plan, tuning, encoded, interposer, watcher, riders, time, Places.NONE);
+    }
+
+    /** The same with members at places. */
+    VirtualFleet(FleetPlan plan, Tuning tuning, boolean encoded, Interposer interposer, Watcher watcher,
+            Function<Node, Rider> riders, VirtualTime time, Places places) {
         this.riders = riders;
+        this.places = places;
         this.time = time;
         startMs = time.now();
         this.tuning = tuning;
         this.interposer = interposer;
         this.watcher = watcher;
         random = new SplittableRandom(plan.seed());
-        net = new Net(random.split(), plan.loss());
+        net = new Net(random.split(), plan.loss(), places);
         codec = encoded ? new MessageCodec("lab") : null;
         for (int i = 0; i < plan.members(); i++) {
-            Node node = add(plan.seeds(), new Profile("z" + i % 3, "front", "1", Profile.Phase.READY, ""));
+            Node node = add(plan.seeds(), new Profile(zone(i), "front", "1", Profile.Phase.READY, ""));
             time.after(i < plan.seeds() ? 0 : random.nextDouble() * plan.startOver(), node::start);
         }
         plan.faults().forEach(fault -> time.after(fault.at(), () -> strike(fault)));
     }
 
+    private String zone(int member) {
+        return places.isNone() ? "z" + member % 3 : places.of(member).zoneName();
+    }
+
     /** A further member, which has not started; the first ones of all are the seeds. */
     Node add(int seeds, Profile profile) {
         Node node = new Node(nodes.size(), profile);
@@ -231,7 +275,8 @@
         return node;
     }
 
-    private void strike(Fault fault) {
+    /** Something goes wrong from now on, for as long as it lasts; when it was to begin does not matter. */
+    void strike(Fault fault) {
         switch (fault.kind()) {
             case KILL, LEAVE -> {
                 for (int number : fault.who()) {
@@ -262,6 +307,11 @@
         }
     }
 
+    /** From now on nothing passes from one region to another, or all does again. */
+    void cut(String from, String to, boolean isCut) {
+        net.cut(from, to, isCut);
+    }
+
     /** Plays on until so many milliseconds after the start. */
     void play(double untilMs) {
         while (time.step(startMs + untilMs)) {
@@ -279,7 +329,12 @@
 
     /** Whether all that run see just those that run present. */
     boolean isOneView() {
-        List<Node> running = nodes.stream().filter(Node::runs).toList();
+        return isOneView(node -> true);
+    }
+
+    /** Whether all of these that run see just those of these that run present. */
+    boolean isOneView(Predicate<Node> these) {
+        List<Node> running = nodes.stream().filter(node -> node.runs() && these.test(node)).toList();
         long digest = running.isEmpty() ? 0 : running.get(0).membership.viewDigest();
         return running.stream().allMatch(node -> node.membership.viewDigest() == digest)
             && (running.isEmpty()
