Add lab scale cut: regions on the virtual clock, apart for an hour

The plan's five zones in two regions lose each other for an hour; what membership, sharing, duties and a release do then, and what it costs by size, was not measured.

--- a/lab/src/main/java/mapleroute/lab/fleet/DutyCut.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/DutyCut.java
@@ -25,7 +25,8 @@
 
         /** What the plan's four machines allow, and what five do. */
         public static final List<Placing> ALL = List.of(new Placing("v4.even", 2, 2, 0),
-            new Placing("v5.near", 3, 2, 0), new Placing("v5.far", 2, 3, 0), new Placing("v5.third", 2, 2, 1));
+            new Placing("v5.near", 3, 2, 0), new Placing("v5.far", 2, 3, 0),
+            new Placing("v5.third", 2, 2, 1));
 
         int keepers() {
             return near + far + third;
--- a/lab/src/main/java/mapleroute/lab/fleet/RegionTrial.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/RegionTrial.java
@@ -65,6 +65,8 @@
     private final SplittableRandom random;
     private final Meter meter;
     private final TrialOutcome outcome = new TrialOutcome();
+    /** Played until then; the clock itself stands at what happened last. */
+    private double nowMs;
     private final Map<Integer, SharingLoad> loads = new HashMap<>();
     private double mendedMs = Double.POSITIVE_INFINITY;
     private double contactMs = Double.NaN;
@@ -107,7 +109,10 @@
     /** Idle, an ordinary day pressed together, and a rack, a zone and each region gone and back. */
     public static TrialOutcome days(Setting setting) {
         RegionTrial trial = new RegionTrial(setting);
-        trial.start();
+        double started = trial.start();
+        if (!Double.isNaN(started)) {
+            trial.add("start.one_view", "s", started);
+        }
         trial.idle("membership");
         trial.day();
         trial.gone("rack", "z1/0");
@@ -134,15 +139,20 @@
         outcome.add(key, unit, setting.size(), value);
     }
 
-    private void start() {
-        fleet.play(START_OVER_MS);
-        double oneView = oneView(LONGEST_START_MS);
-        if (Double.isNaN(oneView)) {
+    private void pass(double ms) {
+        nowMs += ms;
+        fleet.play(nowMs);
+    }
+
+    /** Starts all; returns when they saw one view, in seconds from the first start, or NaN. */
+    private double start() {
+        pass(START_OVER_MS);
+        double started = (START_OVER_MS + oneView(LONGEST_START_MS)) / 1000;
+        if (Double.isNaN(started)) {
             finding("the start", LONGEST_START_MS);
-        } else {
-            add("start.one_view", "s", fleet.now() / 1000);
         }
-        fleet.play(fleet.now() + QUIET_MS);
+        pass(QUIET_MS);
+        return started;
     }
 
     private void finding(String after, double ms) {
@@ -154,20 +164,20 @@
 
     /** Plays on until there is one view; how long that took, or NaN. */
     private double oneView(double longestMs) {
-        double from = fleet.now();
+        double from = nowMs;
         while (!fleet.isOneView()) {
-            if (fleet.now() - from >= longestMs) {
+            if (nowMs - from >= longestMs) {
                 return Double.NaN;
             }
-            fleet.play(fleet.now() + STEP_MS);
+            pass(STEP_MS);
         }
-        return fleet.now() - from;
+        return nowMs - from;
     }
 
     private void idle(String role) {
         meter.begin();
         long cpu = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
-        fleet.play(fleet.now() + IDLE_MS);
+        pass(IDLE_MS);
         double core = (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - cpu) / 1e9;
         rates("idle." + role);
         add("idle." + role + ".core", "core", core / (setting.size() * IDLE_MS / 1000));
@@ -209,13 +219,13 @@
 
     private void day() {
         meter.begin();
-        struck(fleet.now(), DAY_MS);
+        struck(nowMs, DAY_MS);
         List<Meter.Second> seconds = play(DAY_MS);
         rates("day.membership");
         add("day.membership.peak_bytes_out", "B/s", most(seconds, Meter.Second::most));
-        fleet.play(fleet.now() + FAILED_MS);
+        pass(FAILED_MS);
         settle("day");
-        fleet.play(fleet.now() + QUIET_MS);
+        pass(QUIET_MS);
     }
 
     private static double most(List<Meter.Second> seconds, ToLongFunction<Meter.Second> of) {
@@ -226,7 +236,7 @@
         List<Meter.Second> seconds = new ArrayList<>();
         meter.second();
         for (double at = 0; at < ms; at += SECOND_MS) {
-            fleet.play(fleet.now() + SECOND_MS);
+            pass(SECOND_MS);
             seconds.add(meter.second());
         }
         return seconds;
@@ -244,14 +254,14 @@
     /** All at a place end at once without a word, and start again at once. */
     private void gone(String phase, String where) {
         List<Integer> who = places.in(where);
-        fleet.strike(new Fault(fleet.now(), Fault.Kind.KILL, who, 0, 0));
+        fleet.strike(new Fault(nowMs, Fault.Kind.KILL, who, 0, 0));
         double known = oneView(LONGEST_MS);
         if (Double.isNaN(known)) {
             finding(phase + " gone", LONGEST_MS);
         } else {
             add(phase + ".known", "s", known / 1000);
         }
-        fleet.play(fleet.now() + QUIET_MS);
+        pass(QUIET_MS);
         who.forEach(each -> fleet.nodes().get(each).start());
         double back = oneView(LONGEST_MS);
         if (Double.isNaN(back)) {
@@ -259,7 +269,7 @@
         } else {
             add(phase + ".back_one_view", "s", back / 1000);
         }
-        fleet.play(fleet.now() + QUIET_MS);
+        pass(QUIET_MS);
     }
 
     /** What the looked-at members of a side said at one moment. */
@@ -292,7 +302,7 @@
 
     private void apart(String phase, boolean restarts) {
         List<Meter.Second> before = play(LOOK_MS);
-        double from = fleet.now();
+        double from = nowMs;
         double until = from + setting.cutMs();
         cut(true);
         meter.begin();
@@ -305,8 +315,8 @@
         }
         Looks looks = new Looks(from);
         List<Meter.Second> seconds = new ArrayList<>(before);
-        while (fleet.now() < until) {
-            fleet.play(Math.min(until, fleet.now() + SECOND_MS));
+        while (nowMs < until) {
+            pass(Math.min(SECOND_MS, until - nowMs));
             seconds.add(meter.second());
             looks.look();
             joins.look();
@@ -314,17 +324,17 @@
         looks.told(phase);
         joins.told(phase);
         rates(phase + ".membership");
-        mendedMs = fleet.now();
+        mendedMs = nowMs;
         cut(false);
         List<Meter.Second> after = new ArrayList<>();
         double oneView = Double.NaN;
         double quietFrom = Double.NaN;
-        while (fleet.now() < mendedMs + LONGEST_MS && !(fleet.now() >= quietFrom + QUIET_MS)) {
-            for (double end = fleet.now() + SECOND_MS; fleet.now() < end;) {
-                fleet.play(Math.min(end, fleet.now() + STEP_MS));
+        while (nowMs < mendedMs + LONGEST_MS && !(nowMs >= quietFrom + QUIET_MS)) {
+            for (int step = 0; step < SECOND_MS / STEP_MS; step++) {
+                pass(STEP_MS);
                 if (Double.isNaN(oneView) && fleet.isOneView()) {
-                    oneView = fleet.now() - mendedMs;
-                    quietFrom = fleet.now();
+                    oneView = nowMs - mendedMs;
+                    quietFrom = nowMs;
                 }
             }
             after.add(meter.second());
@@ -374,11 +384,11 @@
 
         void look() {
             if (Double.isNaN(apartMs) && REGIONS.stream().allMatch(RegionTrial.this::isOneView)) {
-                apartMs = fleet.now() - cutMs;
+                apartMs = nowMs - cutMs;
             }
-            if (fleet.now() >= nextMs) {
-                nextMs = fleet.now() + LOOK_MS;
-                at.add(fleet.now());
+            if (nowMs >= nextMs) {
+                nextMs = nowMs + LOOK_MS;
+                at.add(nowMs);
                 sides.forEach((region, all) -> all.add(RegionTrial.this.look(region)));
             }
         }
@@ -477,7 +487,7 @@
                     >= places.in(region).size() * 0.9;
                 if (joined) {
                     took.computeIfAbsent(region, name -> new ArrayList<>())
-                        .add((fleet.now() - each.getValue()) / 1000);
+                        .add((nowMs - each.getValue()) / 1000);
                 }
                 return joined;
             });
--- a/lab/src/main/java/mapleroute/lab/fleet/ReleaseCut.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/ReleaseCut.java
@@ -7,9 +7,10 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import mapleroute.fleet.member.Profile;
 import mapleroute.fleet.member.Rider;
+import mapleroute.fleet.member.State;
 import mapleroute.fleet.member.Tuning;
+import mapleroute.fleet.member.Update;
 import mapleroute.fleet.member.View;
 import mapleroute.fleet.release.Conductor;
 import mapleroute.fleet.release.Plan;
@@ -33,8 +34,8 @@
     private static final int SEEDS = 3;
     private static final int CONDUCTOR = 0;
     private static final double PART = 0.25;
-    private static final Plan PLAN = new Plan("cut", "new", List.of(), List.of(PART, 1.0), 5000, 100, 0.1, 0.1,
-        0.01, true);
+    private static final Plan PLAN = new Plan("cut", "new", List.of(), List.of(PART, 1.0), 5000, 100, 0.1,
+        0.1, 0.01, true);
 
     private final int size;
     private final Places places;
@@ -44,6 +45,8 @@
     private final Map<Integer, Stager> stagers = new TreeMap<>();
     private final Map<Long, String> polled = new HashMap<>();
     private Conductor conductor;
+    /** Played until then; the clock itself stands at what happened last. */
+    private double nowMs;
 
     private ReleaseCut(int size, long seed, Places.Delays delays) {
         this.size = size;
@@ -72,11 +75,16 @@
         });
     }
 
-    /** Plays one with a cut of so long; the stage lapses and ends only where that is longer than its bounds. */
+    /** Plays one with a cut of so long; a stage lapses and ends only where that is longer than its bounds. */
     public static TrialOutcome play(int size, double cutMs, long seed, Places.Delays delays) {
         return new ReleaseCut(size, seed, delays).play(cutMs);
     }
 
+    private void pass(double ms) {
+        nowMs += ms;
+        fleet.play(nowMs);
+    }
+
     private VirtualFleet.Node conducting() {
         return fleet.nodes().get(CONDUCTOR);
     }
@@ -86,10 +94,10 @@
         double now = node.clock();
         polled.clear();
         for (View.Member member : node.membership.view(now).members()) {
-            Profile profile = member.held().profile();
-            if (member.held().state().isPresent() && profile != null && !member.held().name().equals(node.name)) {
-                polled.put(node.membership.ask(now, member.held().name(), Riders.wrapped(StageRider.LETTER,
-                    StageRider.question())), member.held().name());
+            Update held = member.held();
+            if (held.state() == State.ALIVE && held.profile() != null && !held.name().equals(node.name)) {
+                polled.put(node.membership.ask(now, held.name(), Riders.wrapped(StageRider.LETTER,
+                    StageRider.question())), held.name());
             }
         }
         node.plan();
@@ -113,9 +121,9 @@
     private TrialOutcome play(double cutMs) {
         TrialOutcome outcome = new TrialOutcome();
         List<Integer> far = places.in("r2");
-        fleet.play(SETTLED_MS);
+        pass(SETTLED_MS);
         Meter meter = new Meter(fleet);
-        fleet.play(fleet.now() + COUNTED_MS);
+        pass(COUNTED_MS);
         double messages = meter.rate(Meter.Of.MESSAGES_OUT, CONDUCTOR);
         double bytes = meter.rate(Meter.Of.BYTES_OUT, CONDUCTOR);
         double bytesIn = meter.rate(Meter.Of.BYTES_IN, CONDUCTOR);
@@ -125,20 +133,20 @@
             line -> { });
         poll();
         decide();
-        double begun = fleet.now();
+        double begun = nowMs;
         boolean toldAll = false;
-        while (!toldAll && fleet.now() < begun + COUNTED_MS) {
-            fleet.play(fleet.now() + STEP_MS);
+        while (!toldAll && nowMs < begun + COUNTED_MS) {
+            pass(STEP_MS);
             toldAll = stagers.keySet().stream().allMatch(member -> part(member) == PART);
         }
         if (toldAll) {
-            outcome.add("release.stage.known", "s", size, (fleet.now() - begun) / 1000);
+            outcome.add("release.stage.known", "s", size, (nowMs - begun) / 1000);
         } else {
             outcome.findings().add("size " + size + ": the first stage was not known to all within "
                 + COUNTED_MS / 1000 + " s");
         }
         meter.begin();
-        fleet.play(fleet.now() + COUNTED_MS);
+        pass(COUNTED_MS);
         // What it sends more than the same member did before it conducted.
         outcome.add("release.conductor.messages_out", "1/s", size,
             meter.rate(Meter.Of.MESSAGES_OUT, CONDUCTOR) - messages);
@@ -147,13 +155,13 @@
         outcome.add("release.conductor.bytes_in", "B/s", size,
             meter.rate(Meter.Of.BYTES_IN, CONDUCTOR) - bytesIn);
         cut(true);
-        double from = fleet.now();
+        double from = nowMs;
         double[] lapsed = {Double.NaN, Double.NaN};
         double[] ended = {Double.NaN, Double.NaN};
         long nearWithout = 0;
-        while (fleet.now() < from + cutMs) {
-            fleet.play(fleet.now() + STEP_MS);
-            double at = (fleet.now() - from) / 1000;
+        while (nowMs < from + cutMs) {
+            pass(STEP_MS);
+            double at = (nowMs - from) / 1000;
             times(lapsed, at, far.stream().filter(member -> part(member) == 0).count(), far.size());
             times(ended, at, far.stream().filter(member -> !holds(member)).count(), far.size());
             nearWithout = Math.max(nearWithout, places.in("r1").stream().filter(member -> part(member) == 0)
@@ -163,14 +171,14 @@
         told(outcome, "release.cut.end", ended);
         outcome.add("release.cut.near_lapsed", "count", size, nearWithout);
         cut(false);
-        double mended = fleet.now();
+        double mended = nowMs;
         boolean back = false;
-        while (!back && fleet.now() < mended + AFTER_MS) {
-            fleet.play(fleet.now() + STEP_MS);
+        while (!back && nowMs < mended + AFTER_MS) {
+            pass(STEP_MS);
             back = far.stream().allMatch(member -> part(member) > 0);
         }
         if (back) {
-            outcome.add("release.cut.back", "s", size, (fleet.now() - mended) / 1000);
+            outcome.add("release.cut.back", "s", size, (nowMs - mended) / 1000);
         } else {
             outcome.findings().add("size " + size + ": the stage was not back in r2 within " + AFTER_MS / 1000
                 + " s after the mend; it is " + conductor.stage().phase() + " " + conductor.stage().why());
--- a/lab/src/main/java/mapleroute/lab/report/Charts.java
+++ b/lab/src/main/java/mapleroute/lab/report/Charts.java
@@ -73,6 +73,11 @@
         return plot(title, "nodo", y, lines, List.of());
     }
 
+    /** A plot over sizes of a fleet. */
+    String overMembers(String title, String y, List<Line> lines) {
+        return plot(title, "members", y, lines, List.of());
+    }
+
     private String plot(String title, String x, String y, List<Line> lines, List<Result.Span> troubles) {
         XYSeriesCollection data = new XYSeriesCollection();
         for (Line line : lines) {
