Tell duties apart by where their keepers' leader and their holder stand

Of four keepers the log's library lets a leader go on with two, so it matters on which side it is when regions lose each other, and whether it lives. Each placing is played six times, also with the leader dying.

--- a/lab/src/main/java/mapleroute/lab/ScaleCutCommand.java
+++ b/lab/src/main/java/mapleroute/lab/ScaleCutCommand.java
@@ -142,7 +142,7 @@
         double wall = (System.nanoTime() - begun) / 1e9;
         List<TrialOutcome> outcomes = played.stream().map(Played::outcome).toList();
         outcomes.stream().flatMap(each -> each.figures().stream()).forEach(figure -> terminal.printf(
-            Locale.ROOT, "%-44s %6s %12.4g %s%n", figure.key(), figure.size() == 0 ? "" : figure.size(),
+            Locale.ROOT, "%-56s %5s %12.4g %s%n", figure.key(), figure.size() == 0 ? "" : figure.size(),
             figure.value(), figure.unit()));
         List<String> findings = outcomes.stream().flatMap(each -> each.findings().stream()).toList();
         findings.forEach(finding -> terminal.println("FINDING " + finding));
@@ -215,9 +215,9 @@
         }
         if (parts.contains(Part.DUTIES)) {
             for (DutyCut.Placing placing : DutyCut.Placing.ALL) {
-                for (boolean near : new boolean[] {true, false}) {
-                    tasks.add(new Task("duties " + placing.key() + (near ? " near" : " far"), 0, () ->
-                        DutyCut.play(placing, near, cutMs, seed, delays)));
+                for (boolean leaderDies : new boolean[] {false, true}) {
+                    tasks.add(new Task("duties " + placing.key() + (leaderDies ? " leader dies" : ""), 0,
+                        () -> DutyCut.play(placing, leaderDies, cutMs, seed, delays)));
                 }
             }
         }
--- a/lab/src/main/java/mapleroute/lab/fleet/DutyCut.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/DutyCut.java
@@ -1,17 +1,25 @@
 package mapleroute.lab.fleet;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
-import java.util.stream.Collectors;
+import java.util.Map;
+import org.apache.commons.math3.stat.descriptive.SummaryStatistics;
 
-/** How long a duty stands still while two regions are apart, by where the keepers that vote stand. */
+/**
+ * How long a duty stands still while two regions are apart, by where the keepers that vote stand, where their
+ * leader stands when the cut begins, and where the duty's holder does.
+ */
 public final class DutyCut {
 
     private static final double CUT_AT_MS = 60_000;
+    private static final double LEADER_DIES_MS = 60_000;
     private static final double AFTER_MS = 120_000;
     /** Those that want the duty, beside the keepers, in the first two regions each. */
     private static final int WANTING = 3;
+    /** Where the leader stands is left to the keepers, so several are played. */
+    private static final int PLAYS = 6;
+    private static final int PREFERRED = 100;
 
     /**
      * Where the keepers stand.
@@ -33,71 +41,110 @@
         }
     }
 
-    private DutyCut() {
+    /** One play: where its leader and its holder stood, and what came of it, by figure. */
+    private record Play(String leader, String holder, Map<String, Double> figures) {
     }
 
-    /**
-     * Plays the regions apart.
-     *
-     * @param holderNear whether processes of r1 want the duty most, else those of r2
-     */
-    public static TrialOutcome play(Placing placing, boolean holderNear, double cutMs, long seed,
-            Places.Delays delays) {
-        List<Places.Place> places = new ArrayList<>();
+    private final Placing placing;
+    private final double cutMs;
+    private final boolean leaderDies;
+    private final Places places;
+    private final TrialOutcome outcome = new TrialOutcome();
+
+    private DutyCut(Placing placing, boolean leaderDies, double cutMs, Places.Delays delays) {
+        this.placing = placing;
+        this.leaderDies = leaderDies;
+        this.cutMs = cutMs;
+        List<Places.Place> all = new ArrayList<>();
         for (int i = 0; i < placing.near(); i++) {
-            places.add(new Places.Place("r1", 1 + i % 3, 0));
+            all.add(new Places.Place("r1", 1 + i % 3, 0));
         }
         for (int i = 0; i < placing.far(); i++) {
-            places.add(new Places.Place("r2", 4 + i % 2, 0));
+            all.add(new Places.Place("r2", 4 + i % 2, 0));
         }
         for (int i = 0; i < placing.third(); i++) {
-            places.add(new Places.Place("r3", 6, 0));
+            all.add(new Places.Place("r3", 6, 0));
         }
         for (int i = 0; i < WANTING; i++) {
-            places.add(new Places.Place("r1", 1 + i % 3, 1));
-            places.add(new Places.Place("r2", 4 + i % 2, 1));
+            all.add(new Places.Place("r1", 1 + i % 3, 1));
+            all.add(new Places.Place("r2", 4 + i % 2, 1));
+        }
+        places = Places.of(all, delays);
+    }
+
+    /**
+     * Plays the regions apart some times.
+     *
+     * @param leaderDies whether the keepers' leader ends a minute later, for a minute
+     */
+    public static TrialOutcome play(Placing placing, boolean leaderDies, double cutMs, long seed,
+            Places.Delays delays) {
+        DutyCut cut = new DutyCut(placing, leaderDies, cutMs, delays);
+        List<Play> plays = new ArrayList<>();
+        for (int i = 0; i < PLAYS; i++) {
+            // Both regions' processes are wanted as holders by turns.
+            plays.add(cut.play(seed * PLAYS + i, i % 2 == 0 ? "r1" : "r2"));
         }
-        Places all = Places.of(places, delays);
-        Set<String> near = all.in("r1").stream().map(i -> "m" + i).collect(Collectors.toSet());
-        DutyTrial.Apart apart = DutyTrial.playApart(new FleetPlan(places.size(), seed, 3000, 2, 0, List.of()),
-            placing.keepers(), number -> near.contains("m" + number) == holderNear ? number : 100 + number,
-            all, CUT_AT_MS, cutMs, AFTER_MS);
-        return told("duties." + placing.key() + (holderNear ? ".holder_near" : ".holder_far"), apart, near,
-            cutMs, seed);
+        cut.tell(plays);
+        return cut.outcome;
     }
 
-    private static TrialOutcome told(String key, DutyTrial.Apart apart, Set<String> near, double cutMs,
-            long seed) {
-        TrialOutcome outcome = new TrialOutcome();
+    private String region(String member) {
+        return member.isEmpty() ? "none" : places.of(Integer.parseInt(member.substring(1))).region();
+    }
+
+    private Play play(long seed, String wanting) {
+        DutyTrial.Apart apart = DutyTrial.playApart(
+            new FleetPlan(placing.keepers() + 2 * WANTING, seed, 0, 2, 0, List.of()),
+            new DutyTrial.Cut(placing.keepers(), number -> region("m" + number).equals(wanting) ? number
+                : PREFERRED + number, places, CUT_AT_MS, cutMs, leaderDies ? LEADER_DIES_MS : 0, AFTER_MS));
         double end = CUT_AT_MS + cutMs;
-        double[] held = new double[2];
+        Map<String, Double> figures = new LinkedHashMap<>();
         List<DutyHistory.Holding> all = apart.holdings();
+        double[] held = new double[2];
         for (DutyHistory.Holding each : all) {
-            held[near.contains(each.name()) ? 0 : 1] += Math.max(0, Math.min(end, each.untilMs())
+            held[region(each.name()).equals("r1") ? 0 : 1] += Math.max(0, Math.min(end, each.untilMs())
                 - Math.max(CUT_AT_MS, each.fromMs()));
         }
-        outcome.add(key + ".standstill", "s", 0, (cutMs - held[0] - held[1]) / 1000);
-        outcome.add(key + ".r1.standstill", "s", 0, (cutMs - held[0]) / 1000);
-        outcome.add(key + ".r2.standstill", "s", 0, (cutMs - held[1]) / 1000);
+        figures.put("standstill", (cutMs - held[0] - held[1]) / 1000);
+        figures.put("r1.standstill", (cutMs - held[0]) / 1000);
+        figures.put("r2.standstill", (cutMs - held[1]) / 1000);
         DutyHistory.Holding first = all.stream().filter(each -> each.fromMs() <= CUT_AT_MS
             && each.untilMs() > CUT_AT_MS).findFirst().orElse(null);
         if (first == null) {
-            outcome.findings().add(key + ", seed " + seed + ": nobody had the duty when the cut began");
-        } else {
-            outcome.add(key + ".first_in_r1", "count", 0, near.contains(first.name()) ? 1 : 0);
-            if (first.untilMs() < end) {
-                outcome.add(key + ".lease_ended", "s", 0, (first.untilMs() - CUT_AT_MS) / 1000);
-            }
+            finding(seed, "nobody had the duty when the cut began");
+        } else if (first.untilMs() < end) {
+            figures.put("lease_ended", (first.untilMs() - CUT_AT_MS) / 1000);
         }
         double back = all.stream().filter(each -> each.untilMs() > end).mapToDouble(each ->
             Math.max(0, each.fromMs() - end)).min().orElse(Double.NaN);
         if (Double.isNaN(back)) {
-            outcome.findings().add(key + ", seed " + seed + ": nobody had the duty within "
-                + AFTER_MS / 1000 + " s after the mend");
+            finding(seed, "nobody had the duty within " + AFTER_MS / 1000 + " s after the mend");
         } else {
-            outcome.add(key + ".after_mend", "s", 0, back / 1000);
+            figures.put("after_mend", back / 1000);
+        }
+        apart.broken().forEach(line -> finding(seed, line));
+        return new Play(region(apart.leader()), first == null ? "none" : region(first.name()), figures);
+    }
+
+    private String key() {
+        return "duties." + placing.key() + (leaderDies ? ".leader_dies" : "");
+    }
+
+    private void finding(long seed, String line) {
+        outcome.findings().add(key() + ", seed " + seed + ": " + line);
+    }
+
+    private void tell(List<Play> plays) {
+        Map<String, SummaryStatistics> all = new LinkedHashMap<>();
+        for (Play each : plays) {
+            String key = key() + ".leader_" + each.leader() + ".holder_" + each.holder() + ".";
+            each.figures().forEach((name, value) -> all.computeIfAbsent(key + name, k ->
+                new SummaryStatistics()).addValue(value));
+            all.computeIfAbsent(key() + ".standstill", k -> new SummaryStatistics())
+                .addValue(each.figures().get("standstill"));
         }
-        apart.broken().forEach(line -> outcome.findings().add(key + ", seed " + seed + ": " + line));
-        return outcome;
+        all.forEach((key, values) -> outcome.figures().add(new TrialOutcome.Figure(key, "s", 0,
+            values.getMean(), values.getMin(), values.getMax(), values.getN())));
     }
 }
--- a/lab/src/main/java/mapleroute/lab/fleet/DutyTrial.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/DutyTrial.java
@@ -4,10 +4,12 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -42,6 +44,8 @@
     private static final double WATCH_MS = 20;
     /** After the last fault somebody has the duty within this, where a majority of keepers is there. */
     private static final double SETTLE_MS = 30_000;
+    /** A keeper that dies while regions are apart is back after this. */
+    private static final double BACK_MS = 60_000;
 
     /** Faults in the program, to see that they are found. */
     public enum Seeded {
@@ -100,26 +104,51 @@
     }
 
     /**
-     * Plays keepers and others at places while two regions are apart.
+     * Two regions, r1 and r2, that lose each other; other regions lose none.
      *
      * @param keepers so many of the members are keepers, the first ones
-     * @param cutAt when the regions r1 and r2 lose each other, in milliseconds; other regions lose none
+     * @param preference by a member's number, how much it wants the duty: the lowest goes first
+     * @param at when it begins, in milliseconds
+     * @param leaderDies from the begin until the keepers' leader ends and starts again a minute later; 0 for
+     *     never
      * @param afterMs how long is played on when they have found each other
-     * @return who had the duty; broken promises
      */
-    static Apart playApart(FleetPlan plan, int keepers, IntUnaryOperator preference, Places places,
-            double cutAt, double lasts, double afterMs) {
-        DutyTrial trial = new DutyTrial(plan, Seeded.NONE, keepers, preference, places);
-        trial.time.after(cutAt, () -> trial.cut(true));
-        trial.time.after(cutAt + lasts, () -> trial.cut(false));
+    record Cut(int keepers, IntUnaryOperator preference, Places places, double at, double lasts,
+            double leaderDies, double afterMs) {
+    }
+
+    /**
+     * How a play of regions apart went.
+     *
+     * @param leader of the keepers when the cut began, or empty
+     */
+    record Apart(String leader, List<DutyHistory.Holding> holdings, List<String> broken) {
+    }
+
+    /** Plays keepers and others at places while two regions are apart. */
+    static Apart playApart(FleetPlan plan, Cut cut) {
+        DutyTrial trial = new DutyTrial(plan, Seeded.NONE, cut.keepers(), cut.preference(), cut.places());
+        String[] leader = {""};
+        trial.time.after(cut.at(), () -> {
+            leader[0] = trial.leader().map(keeper -> keeper.node.name).orElse("");
+            trial.cut(true);
+        });
+        if (cut.leaderDies() > 0) {
+            trial.time.after(cut.at() + cut.leaderDies(), () -> trial.leader().ifPresent(keeper ->
+                trial.fleet.strike(new Fault(0, Fault.Kind.KILL, List.of(keeper.node.number), BACK_MS, 0))));
+        }
+        trial.time.after(cut.at() + cut.lasts(), () -> trial.cut(false));
         trial.time.after(0, trial::watch);
-        double end = cutAt + lasts + afterMs;
+        double end = cut.at() + cut.lasts() + cut.afterMs();
         trial.fleet.play(end);
-        return new Apart(trial.history.holdings(end), trial.history.broken());
+        return new Apart(leader[0], trial.history.holdings(end), trial.history.broken());
     }
 
-    /** How a play of regions apart went. */
-    record Apart(List<DutyHistory.Holding> holdings, List<String> broken) {
+    /** The keeper that leads now, by its own word; of two the one of the later term. */
+    private Optional<Keeper> leader() {
+        return processes.values().stream().filter(Keeper.class::isInstance).map(Keeper.class::cast)
+            .filter(keeper -> !keeper.ended && keeper.node.runs() && keeper.raft != null
+                && keeper.raft.leads()).max(Comparator.comparingLong(keeper -> keeper.raft.term()));
     }
 
     private void cut(boolean isCut) {
--- a/lab/src/main/java/mapleroute/lab/fleet/RegionTrial.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/RegionTrial.java
@@ -29,6 +29,8 @@
     private static final double LONGEST_START_MS = 300_000;
     /** Whatever a start or a fault has left to tell is told by then. */
     private static final double QUIET_MS = 60_000;
+    /** Quiet is this much above what was sent before, at most. */
+    private static final double QUIET_PART = 1.25;
     private static final double IDLE_MS = 120_000;
     private static final double DAY_MS = 300_000;
     private static final double RESTART_MS = 5000;
@@ -349,6 +351,7 @@
         if (!Double.isNaN(contactMs)) {
             add(phase + ".contact", "s", (contactMs - mendedMs) / 1000);
         }
+        quiet(phase, before, after);
         add(phase + ".mend_peak_bytes_out", "B/s", most(after, Meter.Second::most));
         add(phase + ".mend_peak_bytes_all", "B/s", most(after, Meter.Second::all));
         add(phase + ".mend_peak_bytes_far", "B/s", most(after, Meter.Second::far));
@@ -368,6 +371,18 @@
         outcome.courses().add(new TrialOutcome.Course(title + ": sent by all", "B/s", begun, ended, all));
     }
 
+    /** From the mend until all together send hardly more than before the cut, for the rest of the play. */
+    private void quiet(String phase, List<Meter.Second> before, List<Meter.Second> after) {
+        double usual = before.stream().mapToLong(Meter.Second::all).average().orElse(0);
+        int quiet = after.size();
+        while (quiet > 0 && after.get(quiet - 1).all() <= usual * QUIET_PART) {
+            quiet--;
+        }
+        if (quiet < after.size()) {
+            add(phase + ".quiet", "s", quiet);
+        }
+    }
+
     /** The views on each side over time. */
     private final class Looks {
         final double cutMs;
