--- a/lab/src/main/java/mapleroute/lab/fleet/DutyTrial.java
+++ b/lab/src/main/java/mapleroute/lab/fleet/DutyTrial.java
@@ -4,14 +4,17 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntUnaryOperator;
 import java.util.stream.IntStream;
 import mapleroute.fleet.duty.Command;
 import mapleroute.fleet.duty.DutyClient;
@@ -41,6 +44,8 @@
     private static final double WATCH_MS = 20;
     /** After the last fault somebody has the duty within this, where a majority of keepers is there. */
     private static final double SETTLE_MS = 30_000;
+    /** A keeper that dies while regions are apart is back after this. */
+    private static final double BACK_MS = 60_000;
 
     /** Faults in the program, to see that they are found. */
     public enum Seeded {
@@ -65,6 +70,9 @@
 
     private final FleetPlan plan;
     private final Seeded seeded;
+    private final int keeperCount;
+    /** By a member's number, how much it wants the duty: the lowest goes first. */
+    private final IntUnaryOperator preference;
     private final VirtualTime time = new VirtualTime();
     private final VirtualFleet fleet;
     private final SplittableRandom random;
@@ -74,12 +82,15 @@
     private final Map<Integer, Process> processes = new TreeMap<>();
     private final double startMs = time.now();
 
-    private DutyTrial(FleetPlan plan, Seeded seeded) {
+    private DutyTrial(FleetPlan plan, Seeded seeded, int keeperCount, IntUnaryOperator preference,
+            Places places) {
         this.plan = plan;
         this.seeded = seeded;
+        this.keeperCount = keeperCount;
+        this.preference = preference;
         random = new SplittableRandom(plan.seed() * 17 + 3);
         fleet = new VirtualFleet(plan, Tuning.DEFAULT, true, Interposer.NONE, (now, at, before, is) -> { },
-            this::process, time);
+            this::process, time, places);
     }
 
     /** A plan for keepers and others, drawn by a seed. */
@@ -89,12 +100,64 @@
 
     /** Plays a plan, whose first five members are keepers. */
     public static Outcome play(FleetPlan plan, Seeded seeded) {
-        DutyTrial trial = new DutyTrial(plan, seeded);
-        return trial.play();
+        return new DutyTrial(plan, seeded, KEEPERS, number -> number % 3, Places.NONE).play();
     }
 
-    private static List<String> keepers() {
-        return IntStream.range(0, KEEPERS).mapToObj(i -> "m" + i).toList();
+    /**
+     * Two regions, r1 and r2, that lose each other; other regions lose none.
+     *
+     * @param keepers so many of the members are keepers, the first ones
+     * @param preference by a member's number, how much it wants the duty: the lowest goes first
+     * @param at when it begins, in milliseconds
+     * @param leaderDies from the begin until the keepers' leader ends and starts again a minute later; 0 for
+     *     never
+     * @param afterMs how long is played on when they have found each other
+     */
+    record Cut(int keepers, IntUnaryOperator preference, Places places, double at, double lasts,
+            double leaderDies, double afterMs) {
+    }
+
+    /**
+     * How a play of regions apart went.
+     *
+     * @param leader of the keepers when the cut began, or empty
+     */
+    record Apart(String leader, List<DutyHistory.Holding> holdings, List<String> broken) {
+    }
+
+    /** Plays keepers and others at places while two regions are apart. */
+    static Apart playApart(FleetPlan plan, Cut cut) {
+        DutyTrial trial = new DutyTrial(plan, Seeded.NONE, cut.keepers(), cut.preference(), cut.places());
+        String[] leader = {""};
+        trial.time.after(cut.at(), () -> {
+            leader[0] = trial.leader().map(keeper -> keeper.node.name).orElse("");
+            trial.cut(true);
+        });
+        if (cut.leaderDies() > 0) {
+            trial.time.after(cut.at() + cut.leaderDies(), () -> trial.leader().ifPresent(keeper ->
+                trial.fleet.strike(new Fault(0, Fault.Kind.KILL, List.of(keeper.node.number), BACK_MS, 0))));
+        }
+        trial.time.after(cut.at() + cut.lasts(), () -> trial.cut(false));
+        trial.time.after(0, trial::watch);
+        double end = cut.at() + cut.lasts() + cut.afterMs();
+        trial.fleet.play(end);
+        return new Apart(leader[0], trial.history.holdings(end), trial.history.broken());
+    }
+
+    /** The keeper that leads now, by its own word; of two the one of the later term. */
+    private Optional<Keeper> leader() {
+        return processes.values().stream().filter(Keeper.class::isInstance).map(Keeper.class::cast)
+            .filter(keeper -> !keeper.ended && keeper.node.runs() && keeper.raft != null
+                && keeper.raft.leads()).max(Comparator.comparingLong(keeper -> keeper.raft.term()));
+    }
+
+    private void cut(boolean isCut) {
+        fleet.cut("r1", "r2", isCut);
+        fleet.cut("r2", "r1", isCut);
+    }
+
+    private List<String> keepers() {
+        return IntStream.range(0, keeperCount).mapToObj(i -> "m" + i).toList();
     }
 
     private Rider process(VirtualFleet.Node node) {
@@ -102,7 +165,7 @@
         if (before != null) {
             before.ended = true;
         }
-        Process process = node.number < KEEPERS ? new Keeper(node) : new Holder(node);
+        Process process = node.number < keeperCount ? new Keeper(node) : new Holder(node);
         processes.put(node.number, process);
         // It begins once its membership is there.
         time.after(0, () -> process.guarded(process::begin));
@@ -235,11 +298,11 @@
             client = new DutyClient(terms, node.name, random.nextLong() >>> 1, keepers(), random.split(),
                 this);
             riders.with(DutyCodec.LETTER, this);
-            client.want(node.clock(), DUTY, node.number % 3);
+            client.want(node.clock(), DUTY, preference.applyAsInt(node.number));
             every(ADVANCE_MS, () -> client.advance(node.clock()));
             every(EFFECT_MS, this::act);
             every(LOOK_MS, () -> {
-                String keeper = keepers().get(random.nextInt(KEEPERS));
+                String keeper = keepers().get(random.nextInt(keeperCount));
                 long sequence = ask(keeper, DutyCodec.LETTER, DutyCodec.question(new DutyClient.Question(
                     keeper, new Command(Command.Kind.LOOK, DUTY, node.name, 0, 0, 0), 0)));
                 asked.put(sequence, time.now());
