Measure what a sidecar process adds to a call (lab scale calls)

Blocks of calls by an open loop go straight to a quick server and by a real sidecar in turn; starts, first calls, a chain, the knee, and the sidecar's processor time, run queue and pauses beside them.

--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/added/CallsTrial.java
@@ -0,0 +1,442 @@
+package mapleroute.lab.added;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import mapleroute.lab.socket.Addresses;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Measures what sidecars add to calls. The same calls go straight to a quick server and by a sidecar, in
+ * turn, so that a drift of the machine falls on both. One thread plays it all; two event loops carry the
+ * callers and the servers.
+ */
+public final class CallsTrial implements AutoCloseable {
+
+    /** Parts of calls whose times are told, with their words in keys. */
+    private static final Map<String, Double> QUANTILES = quantiles();
+    private static final long PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(ServeConfig.DEADLINE_MS);
+    /** A block begins so long after it is made, so that its first call is not late already. */
+    private static final long LEAD_NANOS = 20_000_000;
+    /** What a caller holds at most; enough for a rate of thousands a second and a stall of some 10 ms. */
+    private static final int MOST_CONNECTIONS = 256;
+    private static final int FIRST_CALLS = 100;
+    private static final double MOST_KNEE_RATE = 128_000;
+    private static final int SERVERS = 1;
+    private static final int FORWARDERS = 60;
+    /** Groups of addresses for sidecars and their places in a fleet; those of servers lie beside. */
+    private static final int LISTEN = 50;
+    private static final int FLEET = 51;
+
+    private final CallsPlan plan;
+    private final Subject.Launcher launcher;
+    private final Consumer<String> progress;
+    private final CallsOutcome outcome = new CallsOutcome();
+    private final SplittableRandom random;
+    private final MultiThreadIoEventLoopGroup callers = group("callers");
+    private final MultiThreadIoEventLoopGroup servers = group("servers");
+    private final EventLoop callerLoop = (EventLoop) callers.next();
+    private final EventLoop serverLoop = (EventLoop) servers.next();
+    private int processes;
+
+    private CallsTrial(CallsPlan plan, Subject.Launcher launcher, Consumer<String> progress) {
+        this.plan = plan;
+        this.launcher = launcher;
+        this.progress = progress;
+        random = new SplittableRandom(plan.seed());
+    }
+
+    /**
+     * Measures all of a plan.
+     *
+     * @param progress hears a line now and then
+     * @throws IOException where a sidecar cannot be started or ends by itself
+     */
+    public static CallsOutcome play(CallsPlan plan, Subject.Launcher launcher, Consumer<String> progress)
+            throws IOException {
+        try (CallsTrial trial = new CallsTrial(plan, launcher, progress)) {
+            for (boolean fleet : plan.fleets()) {
+                for (int known : plan.knownWith(fleet)) {
+                    trial.measure(known, fleet);
+                }
+            }
+            if (plan.hops() > 0) {
+                trial.chain();
+            }
+            return trial.outcome;
+        }
+    }
+
+    private static Map<String, Double> quantiles() {
+        Map<String, Double> parts = new LinkedHashMap<>();
+        parts.put("p50", 0.5);
+        parts.put("p99", 0.99);
+        parts.put("p999", 0.999);
+        return parts;
+    }
+
+    private static MultiThreadIoEventLoopGroup group(String name) {
+        return new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(name, true),
+            NioIoHandler.newFactory());
+    }
+
+    private void say(String form, Object... values) {
+        progress.accept(String.format(Locale.ROOT, form, values));
+    }
+
+    /** Where calls of one kind of way go: without sidecars and by them. */
+    private record Ways(HttpPool direct, HttpPool by, List<Subject> sidecars) {
+    }
+
+    private void measure(int known, boolean fleet) throws IOException {
+        QuickServer server = new QuickServer(serverLoop, null);
+        List<Subject> others = new ArrayList<>();
+        DiscoveryStandIn discovery = null;
+        try {
+            List<InetSocketAddress> addresses = server.listen(SERVERS, known);
+            discovery = new DiscoveryStandIn(serverLoop, addresses);
+            InetSocketAddress seed = fleet ? Addresses.fresh(FLEET, processes) : null;
+            for (int i = 0; fleet && i < plan.members(); i++) {
+                others.add(launcher.start(config(addresses, discovery, seed, i == 0), false));
+            }
+            starts(known, fleet, addresses, discovery, seed);
+        } finally {
+            others.forEach(Subject::close);
+            if (discovery != null) {
+                discovery.close();
+            }
+            server.close();
+        }
+    }
+
+    /** A configuration for a new process; in a fleet the first one is where the others look. */
+    private ObjectNode config(List<InetSocketAddress> addresses, DiscoveryStandIn discovery,
+            InetSocketAddress seed, boolean first) {
+        int number = processes++;
+        ObjectNode config = ServeConfig.of("n" + number, Addresses.fresh(LISTEN, number),
+            discovery.address(), addresses, plan.replicas(), random.nextLong());
+        if (seed != null) {
+            ServeConfig.join(config, first ? seed : Addresses.fresh(FLEET, number), seed);
+        }
+        return config;
+    }
+
+    /** Starts the sidecar as often as wanted, each time with its first calls; the last one is measured. */
+    private void starts(int known, boolean fleet, List<InetSocketAddress> addresses,
+            DiscoveryStandIn discovery, InetSocketAddress seed) throws IOException {
+        HttpPool direct = new HttpPool(callerLoop, addresses.get(0), MOST_CONNECTIONS);
+        boolean base = known == plan.baseKnown();
+        List<Double> ready = new ArrayList<>();
+        List<Double> resident = new ArrayList<>();
+        List<Estimate.Pair> first = new ArrayList<>();
+        try {
+            // Whoever calls is to be warm before the sidecar's first calls are compared with its own.
+            block(direct, null, plan.baseRate() * 4, plan.warmUpSeconds(), random.nextLong());
+            for (int i = 1; i <= plan.starts(); i++) {
+                long mix = random.nextLong();
+                // A place of its own each time: the one that ended may be held for a while.
+                Block before = base ? first(direct, null, mix) : null;
+                Subject subject = launcher.start(config(addresses, discovery, seed,
+                    seed != null && plan.members() == 0), i == plan.starts());
+                HttpPool by = new HttpPool(callerLoop, subject.address(), MOST_CONNECTIONS);
+                try {
+                    ready.add(subject.readySeconds());
+                    resident.add(subject.residentMb());
+                    if (base) {
+                        Block cold = first(by, subject, mix);
+                        count(cold);
+                        first.add(new Estimate.Pair(before.calls(), cold.calls()));
+                    }
+                    if (i == plan.starts()) {
+                        tellStarts(known, fleet, ready, resident, first);
+                        rates(known, fleet, new Ways(direct, by, List.of(subject)));
+                    }
+                } finally {
+                    close(by);
+                    subject.close();
+                }
+            }
+        } finally {
+            close(direct);
+        }
+    }
+
+    private Block first(HttpPool pool, Subject subject, long mix) throws IOException {
+        return block(pool, subject, plan.baseRate(), FIRST_CALLS / plan.baseRate(), mix);
+    }
+
+    private void close(HttpPool pool) {
+        callerLoop.submit(pool::reset).awaitUninterruptibly();
+    }
+
+    private static String start(int known, boolean fleet) {
+        return "start.known" + known + (fleet ? ".fleet_on" : "");
+    }
+
+    private void tellStarts(int known, boolean fleet, List<Double> ready, List<Double> resident,
+            List<Estimate.Pair> first) {
+        String key = start(known, fleet);
+        Estimate took = Estimate.of(ready);
+        outcome.add(key + ".ready", "s", known, took, "from the start of the process");
+        outcome.add(key + ".rss", "MB", known, Estimate.of(resident), "at the time when it is ready");
+        say("%s: ready after %s s, with %s MB", key, took.text(), Estimate.of(resident).text());
+        if (!first.isEmpty()) {
+            String cold = "calls.cold.first" + FIRST_CALLS + (fleet ? ".fleet_on" : "");
+            QUANTILES.forEach((word, part) -> Estimate.added(first, part).ifPresent(added -> {
+                outcome.add(cold + ".added." + word, "ms", known, added, "at "
+                    + CallsOutcome.number(plan.baseRate()) + " calls a second, by starts");
+                say("%s.added.%s: %s ms", cold, word, added.text());
+            }));
+        }
+    }
+
+    private void rates(int known, boolean fleet, Ways ways) throws IOException {
+        Subject subject = ways.sidecars().get(0);
+        double holds = 0;
+        String why = "";
+        for (double rate : plan.ratesAt(known, fleet)) {
+            CallsOutcome.Phase phase = CallsOutcome.Phase.of(rate, known, fleet);
+            List<Block.Pair> pairs = pairs(ways, rate, phase.key());
+            Map<String, Estimate> figures = quantiles(pairs, phase.key());
+            figures.putAll(Causes.of(pairs, subject.pauses(), plan.targetMs()));
+            figures.forEach((name, value) -> outcome.add(phase.key() + "." + name, Causes.unit(name), known,
+                value, Causes.about(name)));
+            tellCounts(phase.key(), known, pairs);
+            outcome.add(phase, figures, sum(pairs, true), sum(pairs, false));
+            say("%s: added p50 %s, p99 %s ms, %s ms of processor a call", phase.key(),
+                text(figures.get("added.p50")), text(figures.get("added.p99")), figures.get("cpu").text());
+            List<String> names = Causes.names(pairs, subject.pauses());
+            outcome.note(phase.key() + ": safepoints of the sidecar: "
+                + (names.isEmpty() ? "none" : String.join(", ", names)));
+            why = pairs.stream().map(this::fault).flatMap(Optional::stream).findFirst().orElse("");
+            if (why.isEmpty()) {
+                holds = Math.max(holds, rate);
+            }
+        }
+        boolean base = known == plan.baseKnown() && fleet == plan.fleets().get(0);
+        if (plan.knee() && base) {
+            knee(known, fleet, ways, holds, why);
+        }
+        outcome.add(start(known, fleet) + ".rss_loaded", "MB", known, Estimate.of(List.of(subject.residentMb())), "after all calls");
+    }
+
+    private static String text(Estimate estimate) {
+        return estimate == null ? "(too few calls)" : estimate.text();
+    }
+
+    /** Blocks each way in turn; which comes first is drawn. Those that only warm up are told apart. */
+    private List<Block.Pair> pairs(Ways ways, double rate, String key) throws IOException {
+        Block.Pair warmUp = pair(ways, rate, plan.warmUpSeconds());
+        Estimate.added(List.of(warmUp.calls()), QUANTILES.get("p50")).ifPresent(added ->
+            outcome.note(String.format(Locale.ROOT, "%s: the warm-up of %.1f s, which does not count, had"
+                + " p50 added %.3f ms", key, plan.warmUpSeconds(), added.value())));
+        List<Block.Pair> pairs = new ArrayList<>();
+        for (int i = 0; i < plan.pairs(); i++) {
+            say("%s: %d of %d", key, i + 1, plan.pairs());
+            Block.Pair pair = pair(ways, rate, plan.blockSeconds());
+            count(pair.direct());
+            count(pair.by());
+            pairs.add(pair);
+        }
+        return pairs;
+    }
+
+    private void count(Block block) {
+        outcome.lost(block.calls().refused() + block.calls().failed());
+    }
+
+    private Block.Pair pair(Ways ways, double rate, double seconds) throws IOException {
+        long mix = random.nextLong();
+        Subject subject = ways.sidecars().get(0);
+        if (random.nextBoolean()) {
+            Block direct = block(ways.direct(), subject, rate, seconds, mix);
+            return new Block.Pair(direct, block(ways.by(), subject, rate, seconds, mix));
+        }
+        Block by = block(ways.by(), subject, rate, seconds, mix);
+        return new Block.Pair(block(ways.direct(), subject, rate, seconds, mix), by);
+    }
+
+    /** Plays a block; {@code watched} is the sidecar whose threads are looked at, or null for none. */
+    private Block block(HttpPool pool, Subject watched, double rate, double seconds, long mix)
+            throws IOException {
+        if (watched != null && !watched.lives()) {
+            throw new IOException("the sidecar ended by itself");
+        }
+        ThreadTimes before = watched == null ? ThreadTimes.none() : watched.threads();
+        Schedule schedule = Schedule.lasting(System.nanoTime() + LEAD_NANOS, rate, seconds);
+        Recorder calls = OpenLoop.play(schedule, new CallMix(mix), PATIENCE_NANOS, OpenLoop.Pace.REAL,
+            (call, deadline, ended) -> pool.loop().execute(() -> pool.send(call, deadline, ended)));
+        await(calls, pool);
+        long over = System.nanoTime();
+        ThreadTimes after = watched == null ? ThreadTimes.none() : watched.threads();
+        return new Block(calls, after.since(before), schedule.at(0), over);
+    }
+
+    private static void await(Recorder calls, HttpPool pool) throws IOException {
+        try {
+            try {
+                calls.done().get(PATIENCE_NANOS, TimeUnit.NANOSECONDS);
+            } catch (TimeoutException e) {
+                // What is not answered by now has failed; its connections are of no use any more.
+                pool.loop().submit(pool::reset).awaitUninterruptibly();
+                calls.done().get(PATIENCE_NANOS, TimeUnit.NANOSECONDS);
+            }
+        } catch (TimeoutException e) {
+            throw new IOException("calls did not end with their connections", e);
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    /** Quantiles added, and those of both ways; one for which a block has too few calls is left out. */
+    private Map<String, Estimate> quantiles(List<Block.Pair> pairs, String key) {
+        List<Estimate.Pair> calls = pairs.stream().map(Block.Pair::calls).toList();
+        Map<String, Estimate> figures = new LinkedHashMap<>();
+        QUANTILES.forEach((word, part) -> Estimate.added(calls, part).ifPresentOrElse(added -> {
+            figures.put("added." + word, added);
+            figures.put("direct." + word, Estimate.of(calls.stream().map(pair ->
+                pair.direct().quantileMs(part)).toList()));
+            figures.put("by." + word, Estimate.of(calls.stream().map(pair ->
+                pair.by().quantileMs(part)).toList()));
+        }, () -> outcome.note(String.format(Locale.ROOT, "%s: no %s, as a block of %d calls is too short for"
+            + " it (or too few of them were served)", key, word,
+            calls.get(0).direct().schedule().count()))));
+        return figures;
+    }
+
+    private void tellCounts(String key, int size, List<Block.Pair> pairs) {
+        long served = 0;
+        long refused = 0;
+        long failed = 0;
+        for (Block.Pair pair : pairs) {
+            served += pair.by().calls().served();
+            refused += pair.by().calls().refused();
+            failed += pair.by().calls().failed();
+        }
+        outcome.add(key + ".served", "count", size, Estimate.of(List.of((double) served)), null);
+        outcome.add(key + ".refused", "count", size, Estimate.of(List.of((double) refused)), null);
+        outcome.add(key + ".failed", "count", size, Estimate.of(List.of((double) failed)), null);
+    }
+
+    private static Histogram sum(List<Block.Pair> pairs, boolean direct) {
+        Histogram sum = new Histogram(pairs.get(0).by().calls().times());
+        sum.reset();
+        pairs.forEach(pair -> sum.add((direct ? pair.direct() : pair.by()).calls().times()));
+        return sum;
+    }
+
+    /** Why a rate does not hold, or nothing where it does. */
+    private Optional<String> fault(Block.Pair pair) {
+        Recorder direct = pair.direct().calls();
+        Recorder by = pair.by().calls();
+        if (direct.served() < direct.schedule().count() || direct.quantileMs(0.99) > plan.boundMs()) {
+            return Optional.of("callers or the server do not hold it without a sidecar either");
+        }
+        if (by.served() < by.schedule().count()) {
+            return Optional.of("calls were refused or failed");
+        }
+        double added = by.quantileMs(0.99) - direct.quantileMs(0.99);
+        return added <= plan.boundMs() ? Optional.empty()
+            : Optional.of(String.format(Locale.ROOT, "the 99th percentile added was %.1f ms", added));
+    }
+
+    private void knee(int known, boolean fleet, Ways ways, double held, String fault) throws IOException {
+        double holds = held;
+        String why = fault;
+        double rate = plan.rates().stream().mapToDouble(Double::doubleValue).max().orElseThrow();
+        while (why.isEmpty()) {
+            rate *= 2;
+            if (rate > MOST_KNEE_RATE) {
+                why = "it is the highest rate that is tried";
+                break;
+            }
+            why = fault(pair(ways, rate, plan.kneeSeconds())).orElse("");
+            if (why.isEmpty()) {
+                holds = rate;
+            }
+            say("knee: %.0f a second %s", rate, why.isEmpty() ? "holds" : "does not hold: " + why);
+        }
+        if (holds > 0) {
+            outcome.add("calls.knee.known" + known + "." + CallsOutcome.word(fleet) + ".rate", "1/s", known,
+                Estimate.of(List.of(holds)), "the last that holds; the next: " + why);
+        } else {
+            outcome.note("knee: no rate holds: " + why);
+        }
+    }
+
+    /** The same calls by as many servers in a row, straight and with a sidecar before each. */
+    private void chain() throws IOException {
+        String key = "chain.hops" + plan.hops();
+        List<QuickServer> stands = new ArrayList<>();
+        List<DiscoveryStandIn> discoveries = new ArrayList<>();
+        List<Subject> sidecars = new ArrayList<>();
+        HttpPool direct = null;
+        HttpPool by = null;
+        try {
+            InetSocketAddress nextDirect = null;
+            InetSocketAddress nextBy = null;
+            say("%s: starting %d sidecars", key, plan.hops());
+            // From the last one on, as each has to know what is behind it.
+            for (int i = plan.hops(); i > 0; i--) {
+                nextDirect = forwarder(stands, nextDirect);
+                List<InetSocketAddress> behind = List.of(forwarder(stands, nextBy));
+                DiscoveryStandIn discovery = new DiscoveryStandIn(serverLoop, behind);
+                discoveries.add(discovery);
+                Subject sidecar = launcher.start(config(behind, discovery, null, false), false);
+                sidecars.add(0, sidecar);
+                nextBy = sidecar.address();
+            }
+            direct = new HttpPool(callerLoop, nextDirect, MOST_CONNECTIONS);
+            by = new HttpPool(callerLoop, nextBy, MOST_CONNECTIONS);
+            List<Block.Pair> pairs = pairs(new Ways(direct, by, sidecars), plan.baseRate(), key);
+            Map<String, Estimate> figures = quantiles(pairs, key);
+            figures.forEach((name, value) -> outcome.add(key + "." + name, "ms", plan.hops(), value, "at "
+                + CallsOutcome.number(plan.baseRate()) + " calls a second, of the whole chain"));
+            tellCounts(key, plan.hops(), pairs);
+            say("%s: added p50 %s, p99 %s ms", key, text(figures.get("added.p50")),
+                text(figures.get("added.p99")));
+        } finally {
+            if (direct != null) {
+                close(direct);
+            }
+            if (by != null) {
+                close(by);
+            }
+            sidecars.forEach(Subject::close);
+            discoveries.forEach(DiscoveryStandIn::close);
+            stands.forEach(QuickServer::close);
+        }
+    }
+
+    /** A server of the chain; the last one, which has nothing behind it, answers by itself. */
+    private InetSocketAddress forwarder(List<QuickServer> stands, InetSocketAddress behind) {
+        QuickServer server = new QuickServer(serverLoop,
+            behind == null ? null : new HttpPool(serverLoop, behind, MOST_CONNECTIONS));
+        stands.add(server);
+        return server.listen(FORWARDERS, 1).get(0);
+    }
+
+    @Override
+    public void close() {
+        callers.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+        servers.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/mapleroute/lab/added/ServeProcesses.java
@@ -0,0 +1,227 @@
+package mapleroute.lab.added;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/**
+ * Real sidecar processes. All of them end with this, and also when the lab's process is ended by a signal.
+ * For one thread, beside the hook that runs at the end of the process.
+ */
+public final class ServeProcesses implements Subject.Launcher, AutoCloseable {
+
+    private static final long START_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(60);
+    /** Looking again this often makes a start look later by as much at most. */
+    private static final int LOOK_MS = 5;
+    private static final int PATIENCE_MS = 1000;
+    private static final String JAR = " -jar ";
+
+    private final String command;
+    private final String javaOptions;
+    private final Path root;
+    private final Path scratch;
+    private final Path logs;
+    private final List<Process> processes = new ArrayList<>();
+    private final Thread ender = new Thread(this::endAll, "ender");
+    private boolean ended;
+    private int started;
+
+    /**
+     * None yet.
+     *
+     * @param command a line for the shell that becomes a sidecar
+     * @param javaOptions put before the line's {@code -jar}, so that they stand above those that are there
+     * @param root the folder where it runs
+     * @param logs where the processes' logs stay, or null for nowhere
+     * @throws IllegalArgumentException where the line has no place for options
+     */
+    public ServeProcesses(String command, String javaOptions, Path root, Path logs) throws IOException {
+        if (!command.contains(JAR)) {
+            throw new IllegalArgumentException("the line that starts a sidecar has no -jar: " + command);
+        }
+        this.command = command;
+        this.javaOptions = javaOptions;
+        this.root = root;
+        scratch = Files.createTempDirectory("lab-calls");
+        this.logs = logs == null ? scratch : Files.createDirectories(logs);
+        Runtime.getRuntime().addShutdownHook(ender);
+    }
+
+    @Override
+    public Subject start(ObjectNode config, boolean observed) throws IOException {
+        String name = config.get("name").asText() + "-" + started++;
+        Path file = Files.writeString(scratch.resolve(name + ".json"), config.toString());
+        Path pauses = logs.toAbsolutePath().resolve(name + ".pauses");
+        Files.deleteIfExists(pauses);
+        Path said = logs.resolve(name + ".log");
+        String options = (observed ? PauseLog.option(pauses) + " " : "") + javaOptions;
+        String line = command.replaceFirst(JAR, java.util.regex.Matcher.quoteReplacement(" " + options
+            + JAR));
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", line).directory(root.toFile())
+            .redirectErrorStream(true).redirectOutput(said.toFile());
+        builder.environment().put("GW_CONFIG", file.toString());
+        builder.environment().put("GW_NAME", name);
+        builder.environment().put("GW_LISTEN", config.get("listen").asText());
+        builder.environment().put("GW_DISCOVERY", config.get("discovery").asText());
+        builder.environment().put("TMPDIR",
+            Files.createDirectories(scratch.resolve(name + ".tmp")).toString());
+        long began = System.nanoTime();
+        Process process = begin(builder);
+        InetSocketAddress address = address(config.get("listen").asText());
+        while (!isReady(address)) {
+            if (!process.isAlive()) {
+                throw new IOException("a sidecar ended before it was ready: " + last(said));
+            }
+            if (System.nanoTime() - began > START_LIMIT_NANOS) {
+                process.destroyForcibly();
+                throw new IOException("a sidecar was not ready after 60 s: " + last(said));
+            }
+            pause();
+        }
+        return new Started(process, address, (System.nanoTime() - began) / 1e9, pauses);
+    }
+
+    /** Started and known to whoever ends all, in one step. */
+    private synchronized Process begin(ProcessBuilder builder) throws IOException {
+        if (ended) {
+            throw new IOException("all is to end");
+        }
+        Process process = builder.start();
+        processes.add(process);
+        return process;
+    }
+
+    private static void pause() throws IOException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(LOOK_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    private static InetSocketAddress address(String text) throws IOException {
+        int colon = text.lastIndexOf(':');
+        return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)),
+            Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    private static boolean isReady(InetSocketAddress address) {
+        try {
+            // A plain look first: the client's own retries would blur the time.
+            try (Socket socket = new Socket()) {
+                socket.connect(address, PATIENCE_MS);
+            }
+            HttpURLConnection ask = (HttpURLConnection) URI.create("http://"
+                + address.getAddress().getHostAddress() + ":" + address.getPort()
+                + "/health/ready").toURL().openConnection();
+            ask.setConnectTimeout(PATIENCE_MS);
+            ask.setReadTimeout(PATIENCE_MS);
+            ask.setRequestProperty("Connection", "close");
+            try {
+                return ask.getResponseCode() == HttpURLConnection.HTTP_OK;
+            } finally {
+                ask.disconnect();
+            }
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private static String last(Path log) throws IOException {
+        List<String> lines = Files.readAllLines(log, StandardCharsets.UTF_8);
+        return lines.isEmpty() ? "it said nothing" : lines.get(lines.size() - 1);
+    }
+
+    private synchronized void endAll() {
+        ended = true;
+        processes.forEach(Process::destroyForcibly);
+        try (Stream<Path> files = Files.walk(scratch)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        } catch (IOException e) {
+            // It is in the system's folder for such files, and no figure depends on its end.
+        }
+    }
+
+    private synchronized void forget(Process process) {
+        processes.remove(process);
+    }
+
+    /** Ends all processes at once and removes their files, but for logs that are kept. */
+    @Override
+    public void close() {
+        endAll();
+        Runtime.getRuntime().removeShutdownHook(ender);
+    }
+
+    private final class Started implements Subject {
+        private final Process process;
+        private final InetSocketAddress address;
+        private final double readySeconds;
+        private final Path pauses;
+
+        Started(Process process, InetSocketAddress address, double readySeconds, Path pauses) {
+            this.process = process;
+            this.address = address;
+            this.readySeconds = readySeconds;
+            this.pauses = pauses;
+        }
+
+        @Override
+        public InetSocketAddress address() {
+            return address;
+        }
+
+        @Override
+        public double readySeconds() {
+            return readySeconds;
+        }
+
+        @Override
+        public double residentMb() {
+            try (Stream<String> lines = Files.lines(Path.of("/proc", Long.toString(process.pid()),
+                    "status"))) {
+                return lines.filter(line -> line.startsWith("VmRSS:")).map(line -> line.replaceAll("\\D", ""))
+                    .mapToDouble(Double::parseDouble).findFirst().orElse(0) / 1024;
+            } catch (IOException | java.io.UncheckedIOException e) {
+                return 0;
+            }
+        }
+
+        @Override
+        public ThreadTimes threads() {
+            return ThreadTimes.of(process.pid());
+        }
+
+        @Override
+        public List<PauseLog.Pause> pauses() throws IOException {
+            return PauseLog.read(pauses);
+        }
+
+        @Override
+        public boolean lives() {
+            return process.isAlive();
+        }
+
+        @Override
+        public void close() {
+            process.destroyForcibly();
+            process.onExit().join();
+            forget(process);
+        }
+    }
+}
--- a/lab/src/main/java/mapleroute/lab/report/Charts.java
+++ b/lab/src/main/java/mapleroute/lab/report/Charts.java
@@ -73,6 +73,11 @@
         return plot(title, "nodo", y, lines, List.of());
     }
 
+    /** A plot over anything; nothing where no line has a point. */
+    String over(String title, String x, String y, List<Line> lines) {
+        return plot(title, x, y, lines, List.of());
+    }
+
     private String plot(String title, String x, String y, List<Line> lines, List<Result.Span> troubles) {
         XYSeriesCollection data = new XYSeriesCollection();
         for (Line line : lines) {
