--- a/lab/src/main/java/mapleroute/lab/added/CallsTrial.java
+++ b/lab/src/main/java/mapleroute/lab/added/CallsTrial.java
@@ -319,6 +319,9 @@
         }, () -> outcome.note(String.format(Locale.ROOT, "%s: no %s, as a block of %d calls is too short for"
             + " it (or too few of them were served)", key, word,
             calls.get(0).direct().schedule().count()))));
+        long draw = random.nextLong();
+        QUANTILES.forEach((word, part) -> Estimate.pooled(calls, part, draw).ifPresent(added ->
+            figures.put("pooled." + word, added)));
         return figures;
     }
 
@@ -337,8 +340,7 @@
     }
 
     private static Histogram sum(List<Block.Pair> pairs, boolean direct) {
-        Histogram sum = new Histogram(pairs.get(0).by().calls().times());
-        sum.reset();
+        Histogram sum = Recorder.empty();
         pairs.forEach(pair -> sum.add((direct ? pair.direct() : pair.by()).calls().times()));
         return sum;
     }
@@ -429,7 +431,7 @@
     /** A server of the chain; the last one, which has nothing behind it, answers by itself. */
     private InetSocketAddress forwarder(List<QuickServer> stands, InetSocketAddress behind) {
         QuickServer server = new QuickServer(serverLoop,
-            behind == null ? null : new HttpPool(serverLoop, behind, MOST_CONNECTIONS));
+            behind == null ? null : new HttpPool(serverLoop, behind, MOST_CONNECTIONS)::send);
         stands.add(server);
         return server.listen(FORWARDERS, 1).get(0);
     }
--- a/lab/src/main/java/mapleroute/lab/added/HttpPool.java
+++ b/lab/src/main/java/mapleroute/lab/added/HttpPool.java
@@ -138,8 +138,13 @@
         private boolean reused;
 
         @Override
-        public void channelActive(ChannelHandlerContext ctx) {
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            // Whoever dials hears that it is up before the pipeline does.
             channel = ctx.channel();
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
             open.add(channel);
         }
 
--- a/lab/src/main/java/mapleroute/lab/added/QuickServer.java
+++ b/lab/src/main/java/mapleroute/lab/added/QuickServer.java
@@ -39,11 +39,11 @@
 
     private final EventLoop loop;
     /** Where calls go on to, or null where they end here. */
-    private final HttpPool behind;
+    private final OpenLoop.Line behind;
     private final List<Channel> open = new CopyOnWriteArrayList<>();
 
-    /** None listens yet; {@code behind} must be of the same loop. */
-    QuickServer(EventLoop loop, HttpPool behind) {
+    /** None listens yet; {@code behind} is called on the loop, and must answer there. */
+    QuickServer(EventLoop loop, OpenLoop.Line behind) {
         this.loop = loop;
         this.behind = behind;
     }
--- a/lab/src/main/java/mapleroute/lab/added/Recorder.java
+++ b/lab/src/main/java/mapleroute/lab/added/Recorder.java
@@ -15,7 +15,7 @@
     private static final int DIGITS = 3;
 
     private final Schedule schedule;
-    private final Histogram times = new Histogram(1, MOST_NANOS, DIGITS);
+    private final Histogram times = empty();
     /** When each call was answered, or 0 where it was not. */
     private final long[] ends;
     private final CompletableFuture<Void> done = new CompletableFuture<>();
@@ -27,6 +27,11 @@
         ends = new long[schedule.count()];
     }
 
+    /** A histogram as all recorders have it. */
+    static Histogram empty() {
+        return new Histogram(1, MOST_NANOS, DIGITS);
+    }
+
     /** A call is over; {@code index} as in the schedule, the time on the schedule's clock. */
     void over(int index, HttpPool.End end, long nowNanos) {
         switch (end) {
--- a/lab/src/main/java/mapleroute/lab/report/CallsReport.java
+++ b/lab/src/main/java/mapleroute/lab/report/CallsReport.java
@@ -19,7 +19,7 @@
 public final class CallsReport {
 
     private static final double NANOS_PER_MS = 1e6;
-    private static final List<String> ADDED = List.of("added.p50", "added.p99", "added.p999");
+    private static final List<String> COLUMNS = List.of("added.p50", "added.p99", "added.p999", "pooled.p99");
 
     private CallsReport() {
     }
@@ -43,10 +43,11 @@
         page.paragraph(command);
         page.paragraph("The same calls go straight to a quick server and by a sidecar, in turn. A call's time"
             + " counts from when it was meant to be sent. Added is the difference of quantiles by pairs of"
-            + " blocks, with a 95 % interval over the pairs (Student's t).");
+            + " blocks, with a 95 % interval over the pairs (Student's t); pooled is"
+            + " that of all blocks' calls together, with an interval by drawing pairs anew.");
         Charts charts = new Charts();
         page.heading("Added, ms");
-        page.table(List.of("phase", "p50", "p99", "p99.9", "processor a call"), outcome.phases().stream()
+        page.table(List.of("phase", "p50", "p99", "p99.9", "pooled p99", "processor a call"), outcome.phases().stream()
             .map(CallsReport::row).toList());
         page.plot(charts.over("Added by rate", "calls a second", "ms", lines(outcome,
             phase -> "known " + phase.phase().known() + fleet(phase), phase -> phase.phase().rate())));
@@ -82,7 +83,7 @@
 
     private static List<String> row(Measured phase) {
         List<String> row = new ArrayList<>(List.of(phase.phase().key()));
-        ADDED.forEach(name -> row.add(phase.figures().containsKey(name)
+        COLUMNS.forEach(name -> row.add(phase.figures().containsKey(name)
             ? phase.figures().get(name).text() : "too few calls"));
         row.add(phase.figures().get("cpu").text());
         return row;
