--- a/lab/src/main/java/mapleroute/lab/added/Causes.java
+++ b/lab/src/main/java/mapleroute/lab/added/Causes.java
@@ -26,6 +26,12 @@
             / pair.direct().seconds()));
         figures.put("cause.runqueue", perCall(pairs, block ->
             block.threads().get(ThreadTimes.Kind.LOOP).waited()));
+        figures.put("added.mean", each(pairs, Causes::meanAddedMs));
+        figures.put("cause.rest", each(pairs, pair -> {
+            ThreadTimes.Times loop = pair.by().threads().get(ThreadTimes.Kind.LOOP);
+            return meanAddedMs(pair) - (loop.ran() + loop.waited()) / NANOS_PER_MS
+                / pair.by().calls().schedule().count();
+        }));
         figures.put("cause.runqueue.turn", each(pairs, pair -> {
             ThreadTimes.Times loop = pair.by().threads().get(ThreadTimes.Kind.LOOP);
             return loop.turns() == 0 ? 0 : loop.waited() / NANOS_PER_MS / loop.turns();
@@ -47,6 +53,11 @@
             / pair.by().calls().schedule().count());
     }
 
+    private static double meanAddedMs(Block.Pair pair) {
+        return (pair.by().calls().times().getMean() - pair.direct().calls().times().getMean())
+            / NANOS_PER_MS;
+    }
+
     private static List<PauseLog.Pause> in(Block block, List<PauseLog.Pause> pauses, boolean collections) {
         return pauses.stream().filter(pause -> pause.collection() == collections
             && pause.meets(block.fromNanos(), block.toNanos())).toList();
@@ -118,6 +129,9 @@
         }
         return switch (name) {
             case "cause.cpu.idle" -> "while calls went without the sidecar";
+            case "added.mean" -> "difference of means, which causes may be set against";
+            case "cause.rest" -> "the mean added, less what the event loop ran and was kept from running: "
+                + "wake-ups and the network; what the loop does without calls makes it smaller";
             case "cause.runqueue" -> "the event loop was ready and another thread ran, a call";
             case "cause.runqueue.turn" -> "the same each time that the event loop came to run";
             case "cause.gc", "cause.safepoint" -> "milliseconds a second; the collector's lie within safepoints";
--- a/lab/src/test/java/mapleroute/lab/added/CausesTest.java
+++ b/lab/src/test/java/mapleroute/lab/added/CausesTest.java
@@ -91,6 +91,10 @@
         assertEquals(0.01, figures.get("cause.cpu.idle").value(), 1e-9);
         assertEquals(0.2, figures.get("cause.runqueue").value(), 1e-9);
         assertEquals(0.1, figures.get("cause.runqueue.turn").value(), 1e-9);
+        // Five calls waited 50, 40, 30, 20 and 10 ms in the place of 1 ms each: 1.45 ms a call, of which 0.7
+        // the loop ran or was kept from running.
+        assertEquals(1.45, figures.get("added.mean").value(), 0.01);
+        assertEquals(0.75, figures.get("cause.rest").value(), 0.01);
         assertEquals(40, figures.get("cause.gc").value(), 1e-9);
         assertEquals(50, figures.get("cause.safepoint").value(), 1e-9);
         assertEquals(50, figures.get("cause.pause.longest").value(), 1e-9);
