--- a/lab/src/main/java/mapleroute/lab/added/CallsPlan.java
+++ b/lab/src/main/java/mapleroute/lab/added/CallsPlan.java
@@ -7,7 +7,7 @@
  *
  * @param rates calls a second, at the base number known
  * @param known numbers of servers that discovery tells of, at the base rate
- * @param fleets whether the sidecar takes part in a fleet; of two the second one is measured at the base alone
+ * @param fleets whether the sidecar takes part in a fleet; of two the second is measured at the base alone
  * @param members idle sidecars in the fleet beside the one that is measured
  * @param hops how many sidecars the chain has; 0 for no chain
  * @param blockSeconds how long calls go one way before they go the other
--- a/lab/src/main/java/mapleroute/lab/added/CallsTrial.java
+++ b/lab/src/main/java/mapleroute/lab/added/CallsTrial.java
@@ -227,7 +227,7 @@
         if (config.has("fleet")) {
             int present = Door.present(config.get("management").asText());
             outcome.add("calls.known" + known + ".fleet_on.members", "count", known,
-                Estimate.of(List.of((double) present)), "present, as the measured sidecar saw them at the end");
+                Estimate.of(List.of((double) present)), "present, as the measured sidecar saw them");
             if (present != plan.members() + 1) {
                 outcome.note(String.format(Locale.ROOT, "known %d in a fleet: the sidecar saw %d members, and"
                     + " not %d: the fleet's figures are not those of a whole fleet", known, present,
@@ -263,7 +263,8 @@
         if (plan.knee() && base) {
             knee(known, fleet, ways, holds, why);
         }
-        outcome.add(start(known, fleet) + ".rss_loaded", "MB", known, Estimate.of(List.of(subject.residentMb())), "after all calls");
+        outcome.add(start(known, fleet) + ".rss_loaded", "MB", known,
+            Estimate.of(List.of(subject.residentMb())), "after all calls");
     }
 
     private static String text(Estimate estimate) {
--- a/lab/src/main/java/mapleroute/lab/added/Causes.java
+++ b/lab/src/main/java/mapleroute/lab/added/Causes.java
@@ -15,7 +15,7 @@
     private Causes() {
     }
 
-    /** Figures by name; those of times a call are in milliseconds, those of pauses in milliseconds a second. */
+    /** Figures by name; times a call are in milliseconds, those of pauses in milliseconds a second. */
     static Map<String, Estimate> of(List<Block.Pair> pairs, List<PauseLog.Pause> pauses, double targetMs) {
         Map<String, Estimate> figures = new LinkedHashMap<>();
         figures.put("cpu", perCall(pairs, block -> block.allThreads().ran()));
@@ -134,7 +134,7 @@
                 + "wake-ups and the network; what the loop does without calls makes it smaller";
             case "cause.runqueue" -> "the event loop was ready and another thread ran, a call";
             case "cause.runqueue.turn" -> "the same each time that the event loop came to run";
-            case "cause.gc", "cause.safepoint" -> "milliseconds a second; the collector's lie within safepoints";
+            case "cause.gc", "cause.safepoint" -> "milliseconds a second; the collector's are in safepoints";
             case "cause.pause.longest" -> "the longest safepoint of a block";
             case "cause.slow" -> "calls longer than the 99th percentile without a sidecar by more than the "
                 + "target";
--- a/lab/src/main/java/mapleroute/lab/added/Estimate.java
+++ b/lab/src/main/java/mapleroute/lab/added/Estimate.java
@@ -41,7 +41,7 @@
         return calls * (1 - part) >= 1 - 1e-9;
     }
 
-    /** What the sidecar adds to a quantile, in milliseconds; nothing where a block has too few calls for it. */
+    /** What the sidecar adds to a quantile, in milliseconds; nothing where a block has too few calls. */
     static Optional<Estimate> added(List<Pair> pairs, double part) {
         if (pairs.isEmpty() || !pairs.stream().allMatch(pair -> suffices(pair.direct().served(), part)
                 && suffices(pair.by().served(), part))) {
@@ -52,8 +52,8 @@
     }
 
     /**
-     * What the sidecar adds to a quantile of all blocks' calls together, in milliseconds. Its interval is that
-     * of 400 draws of pairs, with replacement. All blocks together reach further than each of them does.
+     * What the sidecar adds to a quantile of all blocks' calls together, in milliseconds. Its interval is
+     * that of 400 draws of pairs, with replacement. All blocks together reach further than each of them does.
      */
     static Optional<Estimate> pooled(List<Pair> pairs, double part, long seed) {
         long fewest = Math.min(pairs.stream().mapToLong(pair -> pair.direct().served()).sum(),
--- a/lab/src/main/java/mapleroute/lab/report/CallsReport.java
+++ b/lab/src/main/java/mapleroute/lab/report/CallsReport.java
@@ -47,8 +47,8 @@
             + " that of all blocks' calls together, with an interval by drawing pairs anew.");
         Charts charts = new Charts();
         page.heading("Added, ms");
-        page.table(List.of("phase", "p50", "p99", "p99.9", "pooled p99", "processor a call"), outcome.phases().stream()
-            .map(CallsReport::row).toList());
+        page.table(List.of("phase", "p50", "p99", "p99.9", "pooled p99", "processor a call"),
+            outcome.phases().stream().map(CallsReport::row).toList());
         page.plot(charts.over("Added by rate", "calls a second", "ms", lines(outcome,
             phase -> "known " + phase.phase().known() + fleet(phase), phase -> phase.phase().rate())));
         page.plot(charts.over("Added by servers known", "servers known", "ms", lines(outcome,
