Begin a scale run with empty folders for its processes

A second run into the same folder read the first one's door out of its log and failed at once, and keepers would not have found their group beside an old log. What an earlier run left of a size is deleted first; the test with a real hollow process begins beside such leftovers. A run that measured nothing prints no table.

--- a/lab/src/main/java/mapleroute/lab/report/ScaleFleetReport.java
+++ b/lab/src/main/java/mapleroute/lab/report/ScaleFleetReport.java
@@ -72,6 +72,9 @@
 
     /** The figures as a table of Markdown: a row for each key, a column for each size. */
     public static List<String> lines(ScaleResults results) {
+        if (results.figures().isEmpty()) {
+            return List.of();
+        }
         List<Integer> sizes = results.figures().stream().map(Figure::size).distinct().sorted().toList();
         List<String> lines = new ArrayList<>();
         lines.add("| figure | unit | " + String.join(" | ", sizes.stream().map(String::valueOf).toList())
--- a/lab/src/main/java/mapleroute/lab/scale/ScaleFleet.java
+++ b/lab/src/main/java/mapleroute/lab/scale/ScaleFleet.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,6 +21,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import mapleroute.lab.drill.Processes;
 import mapleroute.lab.drill.Processes.Part;
 import mapleroute.lab.scale.HollowAnswers.Stats;
@@ -58,10 +60,16 @@
     private final ExecutorService asking = Executors.newCachedThreadPool(
         new DefaultThreadFactory("asking", true));
 
-    /** None runs yet but discovery. */
+    /**
+     * None runs yet but discovery.
+     *
+     * @param folder for configurations, logs and the keepers' log; what an earlier run left there is deleted,
+     *     as keepers found their group only once and a log must tell of one process
+     */
     ScaleFleet(ScaleSetup setup, Places places, Path folder) throws IOException {
         this.setup = setup;
         this.places = places;
+        delete(folder);
         this.folder = Files.createDirectories(folder);
         processes = new Processes(folder, setup.root(), setup.keepers(), Places.REAL_HOST, FLEET,
             Places.REAL_ZONE);
@@ -74,6 +82,18 @@
         discovery = new ListServer(Places.REAL_HOST, List.copyOf(Places.REGIONS.keySet()), lists);
     }
 
+    private static void delete(Path folder) throws IOException {
+        if (Files.exists(folder)) {
+            List<Path> all;
+            try (Stream<Path> walk = Files.walk(folder)) {
+                all = walk.sorted(Comparator.reverseOrder()).toList();
+            }
+            for (Path each : all) {
+                Files.delete(each);
+            }
+        }
+    }
+
     // ---- start ----
 
     /** Starts all processes but no hollow member. */
--- a/lab/src/test/java/mapleroute/lab/scale/HollowFleetTest.java
+++ b/lab/src/test/java/mapleroute/lab/scale/HollowFleetTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -35,7 +36,11 @@
         ScaleSetup setup = new ScaleSetup(Path.of("..").toAbsolutePath().normalize(), "exec true", folder,
             0, 0, 3, 12, List.of(), second, second, second, second, second, 1);
         List<ProcessHandle> before = ProcessHandle.current().children().toList();
-        ScaleFleet fleet = new ScaleFleet(setup, Places.of(12), folder);
+        // What an earlier run left there must not be taken for this one's.
+        Path logs = Files.createDirectories(folder.resolve("size-12"));
+        Files.writeString(logs.resolve("hollow-0.log"), "hollow: door 127.0.0.1:1\n");
+        Files.writeString(Files.createDirectories(logs.resolve("log-k0")).resolve("keeper.db"), "old");
+        ScaleFleet fleet = new ScaleFleet(setup, Places.of(12), logs);
         try (fleet) {
             fleet.begin();
             awaitThat(fleet::hollowBegun);
