--- a/lab/src/main/java/mapleroute/lab/added/CallsTrial.java
+++ b/lab/src/main/java/mapleroute/lab/added/CallsTrial.java
@@ -254,9 +254,12 @@
             List<String> names = Causes.names(pairs, subject.pauses());
             outcome.note(phase.key() + ": safepoints of the sidecar: "
                 + (names.isEmpty() ? "none" : String.join(", ", names)));
-            why = pairs.stream().map(this::fault).flatMap(Optional::stream).findFirst().orElse("");
-            if (why.isEmpty()) {
+            String fault = pairs.stream().map(this::fault).flatMap(Optional::stream).findFirst().orElse("");
+            if (fault.isEmpty()) {
                 holds = Math.max(holds, rate);
+            } else {
+                why = fault;
+                say("%s does not hold: %s", phase.key(), fault);
             }
         }
         boolean base = known == plan.baseKnown() && fleet == plan.fleets().get(0);
