--- a/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
+++ b/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
@@ -421,6 +421,27 @@
         }
     }
 
+    /**
+     * Guards against a process that starts anew with the list of its file and asks for another one at its
+     * leisure: what changed while it was down counts as told all the same.
+     */
+    @Test
+    void aProcessThatStartsAsksAtOnceWhatItsListIsWorth() throws Exception {
+        Fake gone = Fake.answering(200, "", "gone");
+        Fake stays = Fake.answering(200, "", "stays");
+        rig = new Rig(gone, stays);
+        rig.askWithinMs = 3_600_000;
+        LinkedBlockingQueue<String> answers = discovering();
+        rig.start();
+        answers.add(Rig.list(3, true, Rig.line(1, stays.address(), "in_service", 0)));
+        Rig.await("it is told with nobody calling", () -> rig.logged().contains("told version 3"));
+        assertTrue(rig.discovery.requests.get(0).line().contains("index=1&"));
+        for (int i = 0; i < 8; i++) {
+            assertEquals("stays", rig.ask("order", DEADLINE_MS).body());
+        }
+        assertEquals(0, gone.requests.size());
+    }
+
     /** Guards against an older list, from whoever still has it, that takes the place of a newer one. */
     @Test
     void anOlderListChangesNothing() throws Exception {
