--- a/sidecar/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/DiscoveryClient.java
@@ -54,12 +54,18 @@
      */
     private static final int FIRST_BACKOFF_MS = 500;
     private static final int MOST_BACKOFF_MS = 1_000;
+    /**
+     * A process that starts holds the list of its file, which may be as old as the time that it was down, and
+     * news counts by discovery's clock, not by the process's. The first call comes at random within this time:
+     * a site's processes may start together, and discovery works through calls in turn.
+     */
+    private static final int FIRST_CALL_MS = 1_500;
     /** Where lists are pushed, an agent of this sidecar's own is asked, and what it has counts at once. */
     private static final int AGENT_BACKOFF_MS = 100;
     private static final int MOST_BODY = 4 * 1024 * 1024;
 
     private enum State {
-        /** Nobody has asked yet. */
+        /** The first call is still to come. */
         IDLE,
         CONNECTING,
         /** A call is out, and discovery waits for news or is about to answer. */
@@ -112,7 +118,12 @@
         version = known;
     }
 
-    /** Begins to watch, unless it does already or will by itself. */
+    /** The process starts: it begins to watch soon, unless there is a reason to before. */
+    void start() {
+        enter(State.IDLE, random.nextInt(1 + FIRST_CALL_MS), this::next);
+    }
+
+    /** Begins to watch, unless it does already. */
     void watch() {
         if (state == State.IDLE) {
             next();
--- a/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Exchange.java
@@ -194,9 +194,10 @@
         settings = config.settings();
         module = new Decide(settings, config.seed(), this);
         tellList(ListKind.CACHED, config.known());
-        // The list in the file is of an unknown age, and what changed since counts as told without regard to
-        // when this process began: that need not wait for the time that the module would choose.
-        watch.run();
+        // Who knows of no endpoint cannot serve: that need not wait for the time the module would choose.
+        if (!settings.asksForList() || !listed) {
+            watch.run();
+        }
     }
 
     /** What happens is told to the fleet too, from now on. */
--- a/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/Sidecar.java
@@ -149,6 +149,7 @@
             config.settings().limits().connectTimeoutMs(), config.idleCloseMs(), half);
         discovery = new DiscoveryClient(loop, config.discovery(), config.names(),
             !config.settings().asksForList(), complaints, config.seed());
+        discovery.start();
         exchange = new Exchange(loop, clock, complaints, endpoints, discovery::watch, config);
         fleet = config.fleet() == null ? null : new FleetPart(config, exchange, complaints);
         discovery.listen(list -> {
