--- a/sidecar/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/DiscoveryClient.java
@@ -59,7 +59,7 @@
      * news counts by discovery's clock, not by the process's. The first call comes at random within this time:
      * a site's processes may start together, and discovery works through calls in turn.
      */
-    private static final int FIRST_CALL_MS = 1_500;
+    private static final int FIRST_CALL_MS = 2_000;
     /** Where lists are pushed, an agent of this sidecar's own is asked, and what it has counts at once. */
     private static final int AGENT_BACKOFF_MS = 100;
     private static final int MOST_BODY = 4 * 1024 * 1024;
