--- a/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
+++ b/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
@@ -426,7 +426,7 @@
      * leisure: what changed while it was down counts as told all the same.
      */
     @Test
-    void aProcessThatStartsAsksAtOnceWhatItsListIsWorth() throws Exception {
+    void aProcessThatStartsAsksSoonWhatItsListIsWorth() throws Exception {
         Fake gone = Fake.answering(200, "", "gone");
         Fake stays = Fake.answering(200, "", "stays");
         rig = new Rig(gone, stays);
