Hold the slow reader's test to whole answers, not to a count taken too early

Cause: the test took it that a request which is not read at once is never read; the system's buffers find room later (a window that opens), and the sidecar then takes one more. Not a fault of the sidecar. Change: all that comes is read to the end, must be whole answers and nothing else, as many as requests that reached the server, and no fewer than were counted.

--- a/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
+++ b/sidecar/src/test/java/mapleroute/sidecar/NarrowMomentsTest.java
@@ -332,8 +332,8 @@
             socket.setReceiveBufferSize(4096);
             socket.connect(rig.sidecar.address());
             Wire slow = new Wire(socket);
-            // Until the system holds no more for both ends: the rest waits in the sidecar; no more is read.
-            // What came before another client's request is met before it, if it is met at all.
+            // Until the system holds no more for both ends: the rest waits in the sidecar, and hardly more is
+            // read. The system may still find room later, and then one more request is taken.
             int taken = 0;
             for (boolean read = true; read; taken += read ? 1 : 0) {
                 slow.send(rig.request("read", DEADLINE_MS).replace("q=1", "q=slow"));
@@ -343,12 +343,17 @@
             Thread drain = new Thread(rig.sidecar::drain);
             drain.start();
             idle.awaitEnd();
-            for (int i = 0; i < taken; i++) {
-                assertEquals(body, slow.read().body());
+            String left = slow.rest();
+            int answered = 0;
+            for (; !left.isEmpty(); answered++) {
+                int end = left.indexOf("\r\n\r\n") + 4;
+                assertTrue(left.startsWith("HTTP/1.1 200 ") && left.startsWith(body, end),
+                    "a whole answer is next, after " + answered);
+                left = left.substring(end + body.length());
             }
-            assertEquals("", slow.rest());
             drain.join();
-            assertEquals(taken, slowRequests());
+            assertEquals(slowRequests(), answered);
+            assertTrue(answered >= taken, answered + " of " + taken);
         }
     }
 
