--- a/sidecar/src/main/java/mapleroute/sidecar/HollowMember.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/HollowMember.java
@@ -80,7 +80,7 @@
         try {
             next.loop.submit(() -> build(next, config)).syncUninterruptibly();
             next.fleet.start(next.loop, "", next::phase, links, next.complaints);
-            next.loop.submit(next.discovery::watch).syncUninterruptibly();
+            next.loop.submit(next.discovery::start).syncUninterruptibly();
         } catch (IOException | RuntimeException e) {
             next.loop.shutdownGracefully().awaitUninterruptibly();
             throw e;
