--- a/sidecar/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/DiscoveryClient.java
@@ -56,8 +56,8 @@
     private static final int MOST_BACKOFF_MS = 1_000;
     /**
      * A process that starts holds the list of its file, which may be as old as the time that it was down, and
-     * news counts by discovery's clock, not by the process's. The first call comes at random within this time:
-     * a site's processes may start together, and discovery works through calls in turn.
+     * news counts by discovery's clock, not by the process's. The first call comes at random within this
+     * time: a site's processes may start together, and discovery works through calls in turn.
      */
     private static final int FIRST_CALL_MS = 2_000;
     /** Where lists are pushed, an agent of this sidecar's own is asked, and what it has counts at once. */
