--- /dev/null
+++ b/system/src/main/java/poppynotch/app/EdgeCommand.java
@@ -0,0 +1,17 @@
+package poppynotch.app;
+
+import com.beust.jcommander.Parameters;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import poppynotch.router.EdgeNode;
+import poppynotch.settings.NodeSettings;
+
+/** Runs an edge: it takes clients' requests to servers. */
+@Parameters(commandDescription = "Run an edge: take clients' requests to servers")
+final class EdgeCommand extends RoleCommand {
+
+    @Override
+    Running start(NodeSettings settings, EventLoopGroup group) throws IOException {
+        return EdgeNode.start(settings, group)::shutDown;
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/app/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package poppynotch.app;
--- /dev/null
+++ b/system/src/main/java/poppynotch/config/package-info.java
@@ -0,0 +1,2 @@
+/** The operator's configuration: reading, checking, changing, look-ups. */
+package poppynotch.config;
--- /dev/null
+++ b/system/src/main/java/poppynotch/control/ControlApi.java
@@ -0,0 +1,183 @@
+package poppynotch.control;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import jakarta.json.JsonException;
+import jakarta.json.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import poppynotch.config.ConfigReader;
+import poppynotch.wire.ServerRecord;
+import poppynotch.wire.ServerState;
+
+/** The HTTP interface of a core process, for servers, operators and the {@code status} command. */
+final class ControlApi extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    private static final Logger LOG = LoggerFactory.getLogger(ControlApi.class);
+    private static final String CONFIG = "/poppynotch/config";
+    private static final String INSTANCES = "/poppynotch/instances/";
+    private static final String STATUS = "/poppynotch/status";
+    private static final String EMPTY = "{}";
+
+    /** An answer to one call. */
+    record Answer(HttpResponseStatus status, byte[] json) {
+        static Answer of(HttpResponseStatus status, String json) {
+            return new Answer(status, json.getBytes(StandardCharsets.UTF_8));
+        }
+    }
+
+    /** What the calls do. Each gives its answer once. */
+    interface Service {
+        void change(ConfigOrder order, Consumer<OrderResult> end);
+
+        void readConfig(Consumer<Answer> end);
+
+        void register(ServerRecord server, Consumer<Boolean> acknowledged);
+
+        void leave(String id, Consumer<Boolean> acknowledged);
+
+        String status();
+    }
+
+    private final Service service;
+
+    ControlApi(Service service) {
+        this.service = service;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+        boolean keepAlive = HttpUtil.isKeepAlive(request);
+        Consumer<Answer> end = answer -> send(ctx, answer, keepAlive);
+        if (request.decoderResult().isFailure()) {
+            end.accept(problem(HttpResponseStatus.BAD_REQUEST, "not HTTP"));
+            return;
+        }
+        String uri = request.uri();
+        byte[] body = ByteBufUtil.getBytes(request.content());
+        if (uri.equals(CONFIG)) {
+            config(request, body, end);
+        } else if (uri.startsWith(INSTANCES)) {
+            instance(request.method(), uri.substring(INSTANCES.length()), body, end);
+        } else if (uri.equals(STATUS)) {
+            end.accept(Answer.of(HttpResponseStatus.OK, service.status()));
+        } else {
+            end.accept(problem(HttpResponseStatus.NOT_FOUND, "no such resource"));
+        }
+    }
+
+    private void config(FullHttpRequest request, byte[] body, Consumer<Answer> end) {
+        if (request.method().equals(HttpMethod.GET)) {
+            service.readConfig(end);
+        } else if (request.method().equals(HttpMethod.PUT)) {
+            change(ConfigOrder.Kind.WHOLE, request, body, end);
+        } else if (request.method().equals(HttpMethod.PATCH)) {
+            change(ConfigOrder.Kind.PATCH, request, body, end);
+        } else {
+            end.accept(problem(HttpResponseStatus.METHOD_NOT_ALLOWED, "PUT, PATCH or GET"));
+        }
+    }
+
+    private void change(ConfigOrder.Kind kind, FullHttpRequest request, byte[] body, Consumer<Answer> end) {
+        long buildsOn;
+        try {
+            String match = request.headers().get(HttpHeaderNames.IF_MATCH, "0");
+            buildsOn = Long.parseLong(match.replace("\"", "").trim());
+        } catch (NumberFormatException e) {
+            end.accept(problem(HttpResponseStatus.BAD_REQUEST, "If-Match is no version"));
+            return;
+        }
+        ConfigOrder.Read read = ConfigOrder.read(kind, buildsOn, body);
+        if (read instanceof ConfigOrder.Read.Bad bad) {
+            LOG.info("a change on {} is refused: {}", buildsOn, bad.reason());
+            end.accept(problem(HttpResponseStatus.BAD_REQUEST, bad.reason()));
+            return;
+        }
+        service.change(((ConfigOrder.Read.Good) read).order(), result -> {
+            LOG.info("a change on {} ends: {}", buildsOn, result);
+            end.accept(answer(result));
+        });
+    }
+
+    private static Answer answer(OrderResult result) {
+        if (result instanceof OrderResult.Taken) {
+            return Answer.of(HttpResponseStatus.OK, EMPTY);
+        }
+        if (result instanceof OrderResult.Conflict conflict) {
+            return problem(HttpResponseStatus.PRECONDITION_FAILED, "version " + conflict.current()
+                + " is current");
+        }
+        if (result instanceof OrderResult.Invalid invalid) {
+            return problem(HttpResponseStatus.BAD_REQUEST, invalid.reason());
+        }
+        return problem(HttpResponseStatus.SERVICE_UNAVAILABLE, "no quorum answered in time");
+    }
+
+    private void instance(HttpMethod method, String id, byte[] body, Consumer<Answer> end) {
+        Consumer<Boolean> acknowledged = done -> end.accept(done
+            ? Answer.of(HttpResponseStatus.OK, EMPTY)
+            : problem(HttpResponseStatus.SERVICE_UNAVAILABLE, "out of contact with the other core processes"));
+        if (method.equals(HttpMethod.DELETE)) {
+            service.leave(id, acknowledged);
+            return;
+        }
+        if (!method.equals(HttpMethod.PUT)) {
+            end.accept(problem(HttpResponseStatus.METHOD_NOT_ALLOWED, "PUT or DELETE"));
+            return;
+        }
+        ServerRecord server;
+        try {
+            server = server(id, ConfigReader.parse(body));
+        } catch (JsonException | IllegalStateException | ClassCastException | NullPointerException e) {
+            end.accept(problem(HttpResponseStatus.BAD_REQUEST, "not a registration"));
+            return;
+        }
+        service.register(server, acknowledged);
+    }
+
+    private static ServerRecord server(String id, JsonObject body) {
+        boolean draining = body.getString("State", "ready").equals("draining");
+        return new ServerRecord(id, body.getString("Backend"), body.getString("Address"),
+            body.getString("Zone", ""), body.getInt("Slots", 1),
+            draining ? ServerState.DRAINING : ServerState.READY,
+            body.containsKey("Sequence") ? body.getJsonNumber("Sequence").longValue() : 0);
+    }
+
+    private static Answer problem(HttpResponseStatus status, String reason) {
+        return new Answer(status, ConfigReader.problem(reason).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void send(ChannelHandlerContext ctx, Answer answer, boolean keepAlive) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answer.status(),
+            Unpooled.wrappedBuffer(answer.json()));
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        HttpUtil.setContentLength(response, answer.json().length);
+        HttpUtil.setKeepAlive(response, keepAlive);
+        ChannelFuture written = ctx.writeAndFlush(response);
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!(cause instanceof java.io.IOException)) {
+            LOG.warn("a control connection ends", cause);
+        }
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/control/CoreNode.java
@@ -0,0 +1,521 @@
+package poppynotch.control;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.AttributeKey;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import poppynotch.config.DocumentCodec;
+import poppynotch.register.AcceptorSet;
+import poppynotch.register.AcceptorState;
+import poppynotch.register.Ballot;
+import poppynotch.register.Change;
+import poppynotch.register.Outcome;
+import poppynotch.register.RegisterValue;
+import poppynotch.register.StateFiles;
+import poppynotch.register.Vote;
+import poppynotch.settings.HostPort;
+import poppynotch.settings.NodeSettings;
+import poppynotch.wire.EdgeLease;
+import poppynotch.wire.Message;
+import poppynotch.wire.RecordChannel;
+import poppynotch.wire.ServerRecord;
+import poppynotch.wire.ServerState;
+
+/**
+ * A core process: it holds a replica of the register, the registry of servers and the edges' leases, and
+ * serves operators, servers and edges. All of its tables belong to one event loop.
+ */
+public final class CoreNode implements ControlApi.Service, RegisterReplica.Host, PollHub.Source {
+
+    private static final Logger LOG = LoggerFactory.getLogger(CoreNode.class);
+    private static final AttributeKey<String> SENDER = AttributeKey.valueOf("sender");
+    private static final int MOST_BODY = 8 * 1024 * 1024;
+    private static final int TICK_MS = 20;
+    private static final long BEAT_MS = 200;
+    /** Without a quorum for so long, this process vouches for nothing. */
+    private static final long FENCED_MS = 1000;
+    /** What this process says of the registry counts as stale after a time without a quorum. */
+    private static final long REGISTRY_STALE_MS = 2000;
+    private static final long ORDER_LIMIT_MS = 2500;
+    private static final long HOLD_LIMIT_MS = 900;
+    private static final long CONTACT_MS = 2000;
+    private static final long MAINTENANCE_MS = 1000;
+    /** Heartbeats in a row with another registry's digest, after which it is fetched. */
+    private static final int DIGEST_MISMATCHES = 2;
+    private static final int MOST_DRAINS = 4096;
+
+    /** A change of the registry that is acknowledged once a majority of the core holds it. */
+    private static final class Holding {
+        final Set<String> holders = new HashSet<>();
+        final Set<String> core;
+        final Consumer<Boolean> end;
+        final long untilMs;
+
+        Holding(Set<String> core, Consumer<Boolean> end, long untilMs) {
+            this.core = core;
+            this.end = end;
+            this.untilMs = untilMs;
+        }
+
+        boolean isHeld() {
+            return 2 * core.stream().filter(holders::contains).count() > core.size();
+        }
+    }
+
+    private final NodeSettings settings;
+    private final EventLoop loop;
+    private final String self;
+    private final long incarnation = ThreadLocalRandom.current().nextLong() | 1;
+    private final QuorumContact contact;
+    private final CorePeers peers;
+    private final ServerRegistry registry;
+    private final EdgeDirectory edges = new EdgeDirectory();
+    private final PollHub polls;
+    private final AcceptorMaintenance maintenance;
+    private final Map<Long, Holding> holdings = new HashMap<>();
+    private final Map<String, Integer> mismatches = new HashMap<>();
+    /** Servers whose drain a majority of the core holds. */
+    private final Set<String> heldDrains = new LinkedHashSet<>();
+    private RegisterReplica register;
+    private long nextRequest = 1;
+    private long nextBeatMs;
+    private long lastBeatMs;
+    private long nextMaintenanceMs;
+    private boolean newsPending;
+    private boolean fenced = true;
+    private long fencedSinceMs;
+    private boolean maintaining;
+
+    private CoreNode(NodeSettings settings, EventLoop loop) {
+        this.settings = settings;
+        this.loop = loop;
+        self = settings.control().orElseThrow(
+            () -> new IllegalArgumentException("Bind.Control is missing")).toString();
+        contact = new QuorumContact(self);
+        peers = new CorePeers(loop, self, incarnation, settings.peerPort(), CoreNode::now, contact);
+        registry = new ServerRegistry(now(), settings.heartbeatMs());
+        polls = new PollHub(incarnation, registry, edges, this, CoreNode::now);
+        maintenance = new AcceptorMaintenance(settings.toleratedMachines());
+    }
+
+    private static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** Starts a core process; an exception says plainly why it can't. */
+    public static CoreNode start(NodeSettings settings, EventLoopGroup group) throws IOException {
+        EventLoop loop = (EventLoop) group.next();
+        CoreNode node = new CoreNode(settings, loop);
+        node.openRegister();
+        try {
+            loop.submit(node::begin).sync();
+            node.listen(group, settings.control().orElseThrow().socketAddress(), node::initControl);
+            node.listen(group, new HostPort(settings.ip(), settings.peerPort()).socketAddress(),
+                channel -> RecordChannel.install(channel.pipeline(), node.receiver()));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while starting", e);
+        }
+        LOG.info("core process {} serves, incarnation {}", node.self, Long.toHexString(node.incarnation));
+        return node;
+    }
+
+    private void openRegister() throws IOException {
+        Path folder = settings.dataDir().orElseThrow(
+            () -> new IllegalArgumentException("DataDir is missing: a core process needs a disk"));
+        Files.createDirectories(folder);
+        StateFiles files = new StateFiles(folder);
+        Optional<AcceptorState> kept = files.read();
+        List<String> seeds = settings.seeds().stream().map(HostPort::toString).toList();
+        if (kept.isEmpty() && settings.bootstrap()) {
+            AcceptorState initial = AcceptorState.initial(AcceptorSet.of(seeds));
+            files.write(initial);
+            kept = Optional.of(initial);
+        }
+        LOG.info("the register goes on from {}", kept.map(AcceptorState::toString).orElse("nothing"));
+        register = new RegisterReplica(self, incarnation, kept, AcceptorSet.of(List.of()),
+            new DiskStorage(files, loop), this);
+    }
+
+    private void begin() {
+        long now = now();
+        settings.seeds().forEach(seed -> peers.know(seed.toString(), now));
+        loop.scheduleWithFixedDelay(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void listen(EventLoopGroup group, InetSocketAddress at, Consumer<Channel> init)
+            throws InterruptedException {
+        new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 256)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    init.accept(channel);
+                }
+            }).bind(at).sync();
+    }
+
+    private void initControl(Channel channel) {
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
+            new ControlApi(this));
+    }
+
+    // ---- time ----
+
+    private void tick() {
+        try {
+            long now = now();
+            peers.tick(now);
+            register.tick(now);
+            watchQuorum(now);
+            if (registry.tick(now)) {
+                news();
+            }
+            edges.tick(now);
+            polls.tick(now);
+            expireHoldings(now);
+            if (now >= nextBeatMs) {
+                beat(now);
+            }
+            if (now >= nextMaintenanceMs) {
+                nextMaintenanceMs = now + MAINTENANCE_MS;
+                maintainAcceptors(now);
+            }
+        } catch (RuntimeException e) {
+            LOG.error("a tick failed", e);
+        }
+    }
+
+    private void watchQuorum(long now) {
+        boolean before = fenced;
+        fenced = quorumAgeMs() > FENCED_MS;
+        if (fenced && !before) {
+            fencedSinceMs = now;
+            LOG.info("out of contact with a quorum");
+        } else if (!fenced && before) {
+            LOG.info("in contact with a quorum");
+            if (now - fencedSinceMs > REGISTRY_STALE_MS) {
+                // Meanwhile servers may have come and gone elsewhere.
+                registry.restart(now);
+                peers.sendToAll(new Message.FetchRegistry());
+            }
+        }
+    }
+
+    private void expireHoldings(long now) {
+        holdings.entrySet().removeIf(entry -> {
+            boolean late = now >= entry.getValue().untilMs;
+            if (late) {
+                entry.getValue().end.accept(false);
+            }
+            return late;
+        });
+    }
+
+    private void beat(long now) {
+        List<EdgeLease> leases = edges.drainDirect(now, lastBeatMs);
+        lastBeatMs = now;
+        nextBeatMs = now + BEAT_MS;
+        Optional<RegisterReplica.Chosen> chosen = register.chosen();
+        peers.sendToAll(new Message.CoreBeat(peers.nextBeat(now),
+            chosen.map(known -> known.value().revision()).orElse(-1L),
+            chosen.map(RegisterReplica.Chosen::ballot).orElse(Ballot.ZERO), register.accepted(),
+            register.highest(), register.acceptors(), registry.isComplete(now), registry.digest(),
+            peers.inContact(now, CONTACT_MS), registry.drainHeard(), leases));
+    }
+
+    /** The core process with the lowest address among those in contact looks after the set of acceptors. */
+    private void maintainAcceptors(long now) {
+        boolean first = peers.inContact(now, AcceptorMaintenance.FIT_MS).get(0).equals(self);
+        if (!first || fenced || maintaining || register.chosen().isEmpty()) {
+            return;
+        }
+        Optional<Change> due = maintenance.due(register.acceptors(), peers.known(),
+            core -> contact.ageMs(now, core));
+        due.ifPresent(change -> {
+            maintaining = true;
+            register.submit(now, change, now + ORDER_LIMIT_MS, outcome -> {
+                maintaining = false;
+                LOG.info("the set of acceptors: {}", register.acceptors());
+            });
+        });
+    }
+
+    // ---- messages ----
+
+    private RecordChannel.Receiver receiver() {
+        return new RecordChannel.Receiver() {
+            @Override
+            public void received(Channel from, Message message) {
+                CoreNode.this.received(from, message);
+            }
+
+            @Override
+            public void closed(Channel channel) {
+                polls.closed(channel);
+            }
+        };
+    }
+
+    private void received(Channel from, Message message) {
+        if (message instanceof Message.Poll poll) {
+            polls.poll(from, poll);
+            return;
+        }
+        if (message instanceof Message.Hello hello) {
+            from.attr(SENDER).set(hello.sender());
+            peers.know(hello.sender(), now());
+            return;
+        }
+        String sender = from.attr(SENDER).get();
+        if (sender != null) {
+            fromPeer(sender, message);
+        }
+    }
+
+    private void fromPeer(String sender, Message message) {
+        long now = now();
+        if (message instanceof Message.CoreBeat beat) {
+            onBeat(now, sender, beat);
+        } else if (message instanceof Message.BeatEcho echo) {
+            peers.echoed(sender, echo.sequence());
+        } else if (message instanceof Message.RegisterVote vote) {
+            register.on(now, sender, vote.vote());
+        } else if (message instanceof Message.Learn learn) {
+            register.learn(new RegisterReplica.Chosen(learn.ballot(), learn.value()), false);
+        } else if (message instanceof Message.FetchValue) {
+            register.chosen().ifPresent(chosen -> peers.send(sender,
+                new Message.Learn(chosen.ballot(), chosen.value())));
+        } else if (message instanceof Message.ServersChanged changed) {
+            takeIn(now, changed.servers());
+            if (changed.request() != 0) {
+                peers.send(sender, new Message.ServersHeld(changed.request()));
+            }
+        } else if (message instanceof Message.ServersHeld held) {
+            held(sender, held.request());
+        } else if (message instanceof Message.FetchRegistry) {
+            peers.send(sender, new Message.RegistrySnapshot(!fenced && registry.isComplete(now),
+                registry.all()));
+        } else if (message instanceof Message.RegistrySnapshot snapshot) {
+            takeIn(now, snapshot.servers());
+            if (snapshot.complete()) {
+                registry.markComplete(now);
+            }
+        }
+    }
+
+    private void onBeat(long now, String sender, Message.CoreBeat beat) {
+        peers.send(sender, new Message.BeatEcho(beat.sequence()));
+        beat.cores().forEach(core -> peers.know(core, now));
+        register.peerHolds(now, beat.accepted(), beat.promised(), beat.acceptors());
+        long known = register.chosen().map(chosen -> chosen.value().revision()).orElse(-1L);
+        Ballot ballot = register.chosen().map(RegisterReplica.Chosen::ballot).orElse(Ballot.ZERO);
+        if (beat.revision() > known || beat.revision() == known && beat.chosen().compareTo(ballot) > 0) {
+            peers.send(sender, new Message.FetchValue());
+        }
+        beat.heard().forEach(heard -> registry.heard(now, heard.id(), heard.sequence()));
+        beat.edges().forEach(edge -> edges.relayed(now, edge));
+        boolean differs = beat.registryDigest() != registry.digest();
+        int times = differs ? mismatches.merge(sender, 1, Integer::sum) : 0;
+        if (!differs) {
+            mismatches.remove(sender);
+        }
+        if (times > DIGEST_MISMATCHES || !registry.isComplete(now) && beat.registryComplete()) {
+            mismatches.remove(sender);
+            peers.send(sender, new Message.FetchRegistry());
+        }
+    }
+
+    private void takeIn(long now, List<ServerRecord> servers) {
+        boolean changed = false;
+        for (ServerRecord server : servers) {
+            if (server.state() != ServerState.EXPIRED) {
+                changed |= registry.apply(now, server);
+            }
+        }
+        if (changed) {
+            news();
+        }
+    }
+
+    private void news() {
+        if (!newsPending) {
+            newsPending = true;
+            loop.execute(() -> {
+                newsPending = false;
+                polls.news();
+            });
+        }
+    }
+
+    // ---- servers ----
+
+    @Override
+    public void register(ServerRecord server, Consumer<Boolean> acknowledged) {
+        long now = now();
+        if (fenced) {
+            acknowledged.accept(false);
+            return;
+        }
+        boolean drains = server.state() == ServerState.DRAINING;
+        if (registry.apply(now, server)) {
+            LOG.info("server {} of {} at {} is {}", server.id(), server.backend(), server.address(),
+                server.state());
+            news();
+            if (!drains) {
+                spread(now, List.of(server), done -> { });
+            }
+        }
+        if (drains && !heldDrains.contains(server.id())) {
+            spread(now, List.of(server), held -> {
+                if (held) {
+                    rememberDrain(server.id());
+                }
+                acknowledged.accept(held);
+            });
+        } else {
+            acknowledged.accept(true);
+        }
+    }
+
+    private void rememberDrain(String id) {
+        heldDrains.add(id);
+        if (heldDrains.size() > MOST_DRAINS) {
+            heldDrains.remove(heldDrains.iterator().next());
+        }
+    }
+
+    @Override
+    public void leave(String id, Consumer<Boolean> acknowledged) {
+        long now = now();
+        if (fenced) {
+            acknowledged.accept(false);
+            return;
+        }
+        Optional<ServerRecord> left = registry.leave(now, id);
+        if (left.isEmpty()) {
+            acknowledged.accept(true);
+            return;
+        }
+        LOG.info("server {} of {} has left", id, left.get().backend());
+        news();
+        spread(now, List.of(left.get()), acknowledged);
+    }
+
+    /** Tells the other core processes, and ends once a majority holds it. */
+    private void spread(long now, List<ServerRecord> servers, Consumer<Boolean> end) {
+        Set<String> core = new HashSet<>(peers.inContact(now, CONTACT_MS));
+        core.addAll(register.acceptors().everyone());
+        Holding holding = new Holding(core, end, now + HOLD_LIMIT_MS);
+        long request = nextRequest++;
+        holdings.put(request, holding);
+        peers.sendToAll(new Message.ServersChanged(request, servers));
+        held(self, request);
+    }
+
+    private void held(String holder, long request) {
+        Holding holding = holdings.get(request);
+        if (holding == null) {
+            return;
+        }
+        holding.holders.add(holder);
+        if (holding.isHeld()) {
+            holdings.remove(request);
+            holding.end.accept(true);
+        }
+    }
+
+    // ---- operators ----
+
+    @Override
+    public void change(ConfigOrder order, Consumer<OrderResult> end) {
+        long now = now();
+        if (fenced) {
+            end.accept(new OrderResult.Unclear());
+            return;
+        }
+        register.submit(now, order, now + ORDER_LIMIT_MS, outcome -> end.accept(order.resultOf(outcome)));
+    }
+
+    @Override
+    public void readConfig(Consumer<ControlApi.Answer> end) {
+        long now = now();
+        register.submit(now, Change.READ, now + ORDER_LIMIT_MS, outcome -> {
+            if (outcome instanceof Outcome.Chosen read && read.value().generation() > 0) {
+                end.accept(new ControlApi.Answer(HttpResponseStatus.OK,
+                    DocumentCodec.decode(read.value().document())));
+            } else {
+                end.accept(ControlApi.Answer.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "{}"));
+            }
+        });
+    }
+
+    @Override
+    public String status() {
+        return new StatusPage(now(), self, register, registry, edges, peers, contact, fenced).json();
+    }
+
+    // ---- the register's host ----
+
+    @Override
+    public void send(String acceptor, Vote vote) {
+        if (acceptor.equals(self)) {
+            loop.execute(() -> register.on(now(), self, vote));
+        } else {
+            peers.send(acceptor, new Message.RegisterVote(vote));
+        }
+    }
+
+    @Override
+    public void chosen(RegisterReplica.Chosen chosen, boolean own) {
+        LOG.info("in force: {}", chosen.value());
+        chosen.value().acceptors().everyone().forEach(acceptor -> peers.know(acceptor, now()));
+        if (own) {
+            peers.sendToAll(new Message.Learn(chosen.ballot(), chosen.value()));
+        }
+        news();
+    }
+
+    // ---- what polls are answered from ----
+
+    @Override
+    public Optional<RegisterValue> value() {
+        return fenced ? Optional.empty() : register.chosen().map(RegisterReplica.Chosen::value)
+            .filter(value -> value.generation() > 0);
+    }
+
+    @Override
+    public long quorumAgeMs() {
+        AcceptorSet acceptors = register.acceptors();
+        return acceptors.members().isEmpty() ? Integer.MAX_VALUE : contact.quorumAgeMs(now(), acceptors);
+    }
+
+    @Override
+    public List<String> cores() {
+        return peers.inContact(now(), CONTACT_MS);
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/control/DiskStorage.java
@@ -0,0 +1,74 @@
+package poppynotch.control;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import poppynotch.register.AcceptorState;
+import poppynotch.register.StateFiles;
+
+/**
+ * Writes an acceptor's states from a thread of its own, so that a disk that is slow or hangs blocks nothing
+ * else. States that wait are written as one: each holds all of the former.
+ */
+public final class DiskStorage implements Storage {
+
+    private static final Logger LOG = LoggerFactory.getLogger(DiskStorage.class);
+
+    private record Write(AcceptorState state, Runnable kept) {
+    }
+
+    private final StateFiles files;
+    private final Executor owner;
+    private final BlockingQueue<Write> queue = new LinkedBlockingQueue<>();
+    private AcceptorState unwritten;
+
+    /** Starts the thread; {@code owner} runs what follows on a write. */
+    public DiskStorage(StateFiles files, Executor owner) {
+        this.files = files;
+        this.owner = owner;
+        Thread thread = new Thread(this::run, "register-disk");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void persist(AcceptorState state, Runnable kept) {
+        queue.add(new Write(state, kept));
+    }
+
+    private void run() {
+        List<Write> batch = new ArrayList<>();
+        try {
+            while (true) {
+                batch.add(queue.take());
+                queue.drainTo(batch);
+                write(List.copyOf(batch));
+                batch.clear();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void write(List<Write> batch) {
+        for (Write write : batch) {
+            if (write.state() != null) {
+                unwritten = write.state();
+            }
+        }
+        try {
+            if (unwritten != null) {
+                files.write(unwritten);
+                unwritten = null;
+            }
+            batch.forEach(write -> owner.execute(write.kept()));
+        } catch (IOException e) {
+            LOG.warn("the register's state can't be written: {}", e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/control/EdgeDirectory.java
@@ -0,0 +1,144 @@
+package poppynotch.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import poppynotch.wire.EdgeLease;
+import poppynotch.wire.Usage;
+
+/**
+ * The edges, each present while it renews its lease, and the sums of what tenants use at all of them. It
+ * does no I/O and is told the time.
+ */
+public final class EdgeDirectory {
+
+    /** How long an edge counts after it last renewed its lease. */
+    private static final long LEASE_MS = 3000;
+    private static final long FORGET_MS = 60_000;
+
+    /** A view of an edge's place among all. */
+    public record Place(int edges, int number) {
+    }
+
+    private static final class Edge {
+        long incarnation;
+        long renewedMs;
+        /** Renewed at this core process itself, not only at others. */
+        long directMs = Long.MIN_VALUE / 2;
+        final Map<String, Long> used = new HashMap<>();
+        final Map<String, Long> unrelayed = new HashMap<>();
+    }
+
+    private static final class Total {
+        long amount;
+        long version;
+    }
+
+    private final Map<String, Edge> edges = new TreeMap<>();
+    private final Map<String, Total> totals = new HashMap<>();
+    private long version;
+
+    /** An edge renews its lease here. */
+    public void renew(long nowMs, String name, long incarnation, List<Usage> usage) {
+        Edge edge = edge(name, incarnation);
+        edge.renewedMs = nowMs;
+        edge.directMs = nowMs;
+        for (Usage item : usage) {
+            if (count(edge, item)) {
+                edge.unrelayed.put(item.tenant(), item.amount());
+            }
+        }
+    }
+
+    /** Another core process tells of an edge's lease. */
+    public void relayed(long nowMs, EdgeLease lease) {
+        Edge known = edges.get(lease.name());
+        long renewed = nowMs - lease.ageMs();
+        if (known != null && known.incarnation != lease.incarnation() && renewed < known.renewedMs) {
+            return;
+        }
+        Edge edge = edge(lease.name(), lease.incarnation());
+        edge.renewedMs = Math.max(edge.renewedMs, renewed);
+        lease.usage().forEach(item -> count(edge, item));
+    }
+
+    private Edge edge(String name, long incarnation) {
+        Edge edge = edges.computeIfAbsent(name, key -> new Edge());
+        if (edge.incarnation != incarnation) {
+            edge.incarnation = incarnation;
+            edge.used.clear();
+            edge.unrelayed.clear();
+        }
+        return edge;
+    }
+
+    private boolean count(Edge edge, Usage item) {
+        long before = edge.used.getOrDefault(item.tenant(), 0L);
+        if (item.amount() <= before) {
+            return false;
+        }
+        edge.used.put(item.tenant(), item.amount());
+        Total total = totals.computeIfAbsent(item.tenant(), key -> new Total());
+        total.amount += item.amount() - before;
+        total.version = ++version;
+        return true;
+    }
+
+    /** Leases renewed here since {@code sinceMs}, with the usage that others have not been told. */
+    public List<EdgeLease> drainDirect(long nowMs, long sinceMs) {
+        List<EdgeLease> direct = new ArrayList<>();
+        edges.forEach((name, edge) -> {
+            if (edge.directMs >= sinceMs) {
+                List<Usage> usage = new ArrayList<>(edge.unrelayed.size());
+                edge.unrelayed.forEach((tenant, amount) -> usage.add(new Usage(tenant, amount)));
+                edge.unrelayed.clear();
+                direct.add(new EdgeLease(name, edge.incarnation, (int) (nowMs - edge.directMs), usage));
+            }
+        });
+        return direct;
+    }
+
+    /** How many edges there are, and which of them one is, in the order of their names. */
+    public Place place(long nowMs, String name) {
+        int count = 0;
+        int number = 0;
+        for (Map.Entry<String, Edge> entry : edges.entrySet()) {
+            if (nowMs - entry.getValue().renewedMs <= LEASE_MS) {
+                if (entry.getKey().compareTo(name) < 0) {
+                    number++;
+                }
+                count++;
+            }
+        }
+        return new Place(Math.max(1, count), number);
+    }
+
+    /** Names of the edges whose leases hold. */
+    public List<String> present(long nowMs) {
+        return edges.entrySet().stream().filter(entry -> nowMs - entry.getValue().renewedMs <= LEASE_MS)
+            .map(Map.Entry::getKey).toList();
+    }
+
+    /** Grows with each change of a total. */
+    public long usageVersion() {
+        return version;
+    }
+
+    /** Totals that have changed after a version. */
+    public List<Usage> totalsSince(long since) {
+        List<Usage> changed = new ArrayList<>();
+        totals.forEach((tenant, total) -> {
+            if (total.version > since) {
+                changed.add(new Usage(tenant, total.amount));
+            }
+        });
+        return changed;
+    }
+
+    /** Forgets edges that have been away for long. */
+    public void tick(long nowMs) {
+        edges.values().removeIf(edge -> nowMs - edge.renewedMs > FORGET_MS);
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/control/PollHub.java
@@ -0,0 +1,124 @@
+package poppynotch.control;
+
+import io.netty.channel.Channel;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import poppynotch.register.RegisterValue;
+import poppynotch.wire.Message;
+import poppynotch.wire.RecordChannel;
+import poppynotch.wire.ServerRecord;
+import poppynotch.wire.Usage;
+
+/** Edges' long polls: each is answered when there is news for it, or after a short time as a sign of life. */
+final class PollHub {
+
+    /** A poll without news is answered after this time. */
+    private static final long HOLD_MS = 200;
+
+    /** What the answers are made from. */
+    interface Source {
+        /** The newest value that is chosen, where this process may vouch for it. */
+        Optional<RegisterValue> value();
+
+        long quorumAgeMs();
+
+        List<String> cores();
+    }
+
+    private static final class Waiting {
+        final Message.Poll poll;
+        final long untilMs;
+
+        Waiting(Message.Poll poll, long untilMs) {
+            this.poll = poll;
+            this.untilMs = untilMs;
+        }
+    }
+
+    private final long incarnation;
+    private final ServerRegistry registry;
+    private final EdgeDirectory edges;
+    private final Source source;
+    private final LongSupplier clock;
+    private final Map<Channel, Waiting> waiting = new HashMap<>();
+    /** The version of the totals that each connection was told last. */
+    private final Map<Channel, Long> toldUsage = new HashMap<>();
+
+    PollHub(long incarnation, ServerRegistry registry, EdgeDirectory edges, Source source,
+            LongSupplier clock) {
+        this.incarnation = incarnation;
+        this.registry = registry;
+        this.edges = edges;
+        this.source = source;
+        this.clock = clock;
+    }
+
+    void poll(Channel from, Message.Poll poll) {
+        long now = clock.getAsLong();
+        edges.renew(now, poll.edge(), poll.incarnation(), poll.usage());
+        Waiting parked = new Waiting(poll, now + HOLD_MS);
+        if (hasNews(poll)) {
+            reply(from, parked);
+        } else {
+            waiting.put(from, parked);
+        }
+    }
+
+    void closed(Channel channel) {
+        waiting.remove(channel);
+        toldUsage.remove(channel);
+    }
+
+    /** Something has changed that edges are to know at once. */
+    void news() {
+        Iterator<Map.Entry<Channel, Waiting>> all = waiting.entrySet().iterator();
+        while (all.hasNext()) {
+            Map.Entry<Channel, Waiting> next = all.next();
+            if (hasNews(next.getValue().poll)) {
+                all.remove();
+                reply(next.getKey(), next.getValue());
+            }
+        }
+    }
+
+    void tick(long nowMs) {
+        Iterator<Map.Entry<Channel, Waiting>> all = waiting.entrySet().iterator();
+        while (all.hasNext()) {
+            Map.Entry<Channel, Waiting> next = all.next();
+            if (nowMs >= next.getValue().untilMs) {
+                all.remove();
+                reply(next.getKey(), next.getValue());
+            }
+        }
+    }
+
+    private boolean hasNews(Message.Poll poll) {
+        return poll.coreIncarnation() != incarnation || poll.registryVersion() < registry.version()
+            || source.value().filter(value -> value.revision() > poll.revision()).isPresent();
+    }
+
+    private void reply(Channel to, Waiting answered) {
+        Message.Poll poll = answered.poll;
+        long now = clock.getAsLong();
+        boolean whole = poll.coreIncarnation() != incarnation;
+        RegisterValue value = source.value().filter(newest -> newest.revision() > poll.revision())
+            .map(PollHub::forEdges).orElse(null);
+        List<ServerRecord> servers = whole ? registry.all() : registry.changesSince(poll.registryVersion());
+        EdgeDirectory.Place place = edges.place(now, poll.edge());
+        List<Usage> usage = edges.totalsSince(whole ? 0 : toldUsage.getOrDefault(to, 0L));
+        toldUsage.put(to, edges.usageVersion());
+        RecordChannel.send(to, new Message.PollReply(poll.poll(), incarnation,
+            (int) Math.min(Integer.MAX_VALUE, source.quorumAgeMs()), value, whole, registry.isComplete(now),
+            registry.version(), servers, place.edges(), place.number(), usage, source.cores()));
+    }
+
+    /** Edges need no history. */
+    private static RegisterValue forEdges(RegisterValue value) {
+        return new RegisterValue(value.revision(), value.acceptors(), value.generation(), value.document(),
+            List.of());
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control plane: register, registry, leases, delivery. */
+package poppynotch.control;
--- /dev/null
+++ b/system/src/main/java/poppynotch/pool/ServerPool.java
@@ -0,0 +1,210 @@
+package poppynotch.pool;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import poppynotch.config.Backend;
+import poppynotch.wire.ServerRecord;
+
+/**
+ * One sidecar's pool of slots on the servers of one service, after Boxcar: a call takes the lowest-ranked
+ * free slot, and a full pool rejects it. Slot k of a server has the rank k·B + ((own number + hash of the
+ * server) mod B), with B the number of sidecars, so that no two sidecars hold one rank at a server. For
+ * servers that run a model, what a call would cost there comes before it: the tokens of its prompt that the
+ * server must read anew, and those that it has yet to read for others. It does no I/O and is told the time.
+ */
+public final class ServerPool {
+
+    /** The most slots in use at once, however many servers there are. */
+    private static final int CEILING = 1024;
+    /** A sidecar may use so many times its even share of a server's slots: clients are spread unevenly. */
+    private static final double SHARE_FACTOR = 2.5;
+    private static final int LEAST_SLOTS = 4;
+    /** What a running call costs a new one, as tokens to be read. */
+    private static final double TOKENS_PER_RUNNING = 150;
+    private static final double TOKENS_PER_WAITING = 4000;
+    /** Own unread tokens stand for those of other sidecars too. */
+    private static final double BACKLOG_WEIGHT = 2;
+    /** The part of the shared tokens that the home of a prompt is taken to keep though it was not seen. */
+    private static final double HOME_TRUST = 0.9;
+    /** A waiting call at a server without a model is as bad as so many rounds of ranks. */
+    private static final double ROUNDS_PER_WAITING = 2;
+    /** Another zone costs a call without a model so many rounds of ranks. */
+    private static final double ROUNDS_ACROSS_ZONES = 0.5;
+    /** Where a rank decides between equal costs, in tokens a round. */
+    private static final double TOKENS_PER_ROUND = 64;
+    /** A server that keeps more than this part of its memory busy with own calls is left for later. */
+    private static final double MEMORY_SHARE = 0.9;
+
+    private final String zone;
+    private Backend backend;
+    private final Map<String, PooledServer> servers = new HashMap<>();
+    private int edges = 1;
+    private int number;
+    private int inUse;
+
+    /** An empty pool of a sidecar in {@code zone}. */
+    public ServerPool(Backend backend, String zone) {
+        this.backend = backend;
+        this.zone = zone;
+    }
+
+    /** The service as a newer configuration describes it. */
+    public void configure(Backend newer) {
+        backend = newer;
+    }
+
+    /** How many sidecars there are, and which of them this one is. */
+    public void place(int sidecars, int ownNumber) {
+        edges = Math.max(1, sidecars);
+        number = ownNumber;
+    }
+
+    /** The servers that may take calls from now on; slots on others are dropped as their calls end. */
+    public void update(Collection<ServerRecord> ready) {
+        Set<String> named = new HashSet<>();
+        for (ServerRecord server : ready) {
+            named.add(server.id());
+            PooledServer known = servers.get(server.id());
+            if (known == null) {
+                long memory = backend.kvTokens() > 0 ? backend.kvTokens() : 1;
+                servers.put(server.id(), new PooledServer(server, memory));
+            } else {
+                known.update(server);
+            }
+        }
+        servers.keySet().retainAll(named);
+    }
+
+    /** Whether any server may take calls. */
+    public boolean hasServers() {
+        return !servers.isEmpty();
+    }
+
+    /** Takes the lowest-ranked free slot for a call, but none on the excluded servers. */
+    public Acquired acquire(long nowMs, CallProfile call, Set<String> excluded) {
+        if (inUse >= CEILING) {
+            return new Acquired.Full();
+        }
+        PooledServer home = home(call);
+        PooledServer best = null;
+        double bestRank = Double.MAX_VALUE;
+        boolean any = false;
+        for (PooledServer server : servers.values()) {
+            if (excluded.contains(server.id())) {
+                continue;
+            }
+            any = true;
+            if (server.isPaused(nowMs) || server.busy() >= slotsOn(server)) {
+                continue;
+            }
+            double rank = rank(nowMs, call, server, server == home);
+            if (rank < bestRank || rank == bestRank && server.hash() < best.hash()) {
+                bestRank = rank;
+                best = server;
+            }
+        }
+        if (best == null) {
+            return any ? new Acquired.Full() : new Acquired.Nobody();
+        }
+        Slot slot = new Slot(best, best.lowestFree(), call, freshTokens(call, best, false));
+        best.take(slot);
+        best.cache().read(call.parts());
+        inUse++;
+        return new Acquired.Granted(slot);
+    }
+
+    private int slotsOn(PooledServer server) {
+        if (server.isOnTrial()) {
+            return 1;
+        }
+        int slots = Math.max(1, server.record().slots());
+        int share = (int) Math.ceil(SHARE_FACTOR * slots / edges);
+        return Math.min(slots, Math.max(LEAST_SLOTS, share));
+    }
+
+    /** The server on which all sidecars look first for what such calls share: the same one for each. */
+    private PooledServer home(CallProfile call) {
+        if (call.parts().isEmpty()) {
+            return null;
+        }
+        PooledServer best = null;
+        long bestScore = Long.MIN_VALUE;
+        for (PooledServer server : servers.values()) {
+            long score = mix(call.affinityKey() ^ server.hash() * 0x9E3779B97F4A7C15L);
+            if (best == null || score > bestScore) {
+                best = server;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    private static long mix(long value) {
+        long mixed = (value ^ value >>> 30) * 0xBF58476D1CE4E5B9L;
+        mixed = (mixed ^ mixed >>> 27) * 0x94D049BB133111EBL;
+        return mixed ^ mixed >>> 31;
+    }
+
+    private double rank(long nowMs, CallProfile call, PooledServer server, boolean isHome) {
+        double own = server.lowestFree() * (double) edges + (number + server.hash()) % edges;
+        if (!backend.hasEngine()) {
+            double across = server.record().zone().equals(zone) ? 0 : ROUNDS_ACROSS_ZONES * edges;
+            return own + across + server.waiting(nowMs) * ROUNDS_PER_WAITING * edges;
+        }
+        double rounds = own / edges * TOKENS_PER_ROUND;
+        double full = server.heldTokens() > MEMORY_SHARE * backend.kvTokens() ? backend.kvTokens() : 0;
+        return freshTokens(call, server, isHome) + BACKLOG_WEIGHT * server.backlogTokens()
+            + TOKENS_PER_RUNNING * (server.busy() + server.othersRunning(nowMs))
+            + TOKENS_PER_WAITING * server.waiting(nowMs) + rounds + full;
+    }
+
+    private static int freshTokens(CallProfile call, PooledServer server, boolean isHome) {
+        int kept = server.cache().keptTokens(call.parts());
+        if (isHome && call.parts().size() > 1) {
+            int own = call.parts().get(call.parts().size() - 1).tokens();
+            kept = Math.max(kept, (int) (HOME_TRUST * (call.promptTokens() - own)));
+        }
+        return Math.max(0, call.promptTokens() - kept);
+    }
+
+    /** The first part of the answer has come. */
+    public void answered(long nowMs, Slot slot) {
+        slot.server().read(slot, nowMs);
+    }
+
+    /** More of an answer has come. */
+    public void heard(long nowMs, Slot slot) {
+        slot.server().heard(nowMs);
+    }
+
+    /** A server has told its load. */
+    public void loadReported(long nowMs, Slot slot, int running, int waiting) {
+        slot.server().reported(nowMs, running, waiting);
+    }
+
+    /** When something last came from the server of a slot, on any connection; 0 if nothing has yet. */
+    public long lastAnswerMs(Slot slot) {
+        return slot.server().lastAnswerMs();
+    }
+
+    /** Tokens that the server of a slot has yet to read for this process. */
+    public long backlogTokens(Slot slot) {
+        return slot.server().backlogTokens();
+    }
+
+    /** Keeps new calls away from the server of a slot for a while. */
+    public void suspect(long nowMs, Slot slot) {
+        slot.server().pause(nowMs);
+    }
+
+    /** The call has left its slot. */
+    public void release(long nowMs, Slot slot, SlotEnd end) {
+        if (slot.release()) {
+            slot.server().free(slot, end, nowMs);
+            inUse--;
+        }
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/router/EdgeNode.java
@@ -0,0 +1,280 @@
+package poppynotch.router;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import poppynotch.config.Backend;
+import poppynotch.config.ConfigReader;
+import poppynotch.config.ConfigResult;
+import poppynotch.config.DocumentCodec;
+import poppynotch.config.FleetConfig;
+import poppynotch.register.RegisterValue;
+import poppynotch.settings.NodeSettings;
+import poppynotch.wire.ServerRecord;
+
+/** An edge process: clients in, servers out. All of its tables belong to one event loop. */
+public final class EdgeNode implements EdgeContext, ControlClient.Listener {
+
+    private static final Logger LOG = LoggerFactory.getLogger(EdgeNode.class);
+    private static final int MAX_LINE = 8192;
+    private static final int MAX_HEADER = 64 * 1024;
+    private static final int MAX_CHUNK = 16 * 1024;
+    private static final int TICK_MS = 50;
+    private static final long SWEEP_MS = 500;
+    /** After SIGTERM the platform sends new connections for up to two of its probes more. */
+    private static final long LINGER_MS = 2600;
+    /** What is left of the time before SIGKILL when the last requests are given up. */
+    private static final long KILL_MARGIN_MS = 300;
+
+    private final NodeSettings settings;
+    private final EventLoop loop;
+    private final FleetState state;
+    private final UpstreamConnections connections;
+    private final ControlClient control;
+    private final Set<Exchange> active = new LinkedHashSet<>();
+    private final Set<ClientConnection> clients = new LinkedHashSet<>();
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private long revision = -1;
+    private boolean draining;
+    private long drainingSinceMs;
+    private long nextSweepMs;
+
+    private EdgeNode(NodeSettings settings, EventLoop loop) {
+        this.settings = settings;
+        this.loop = loop;
+        state = new FleetState(settings);
+        connections = new UpstreamConnections(loop, this::now);
+        control = new ControlClient(loop, settings, this::now, this);
+    }
+
+    /** Starts an edge; an exception says plainly why it can't. */
+    public static EdgeNode start(NodeSettings settings, EventLoopGroup group) throws IOException {
+        InetSocketAddress front = settings.front().orElseThrow(
+            () -> new IllegalArgumentException("Bind.Front is missing")).socketAddress();
+        EdgeNode node = new EdgeNode(settings, (EventLoop) group.next());
+        try {
+            node.listen(group, front, node::initClient);
+            if (settings.readiness().isPresent()) {
+                node.listen(group, settings.readiness().get().socketAddress(), node::initReadiness);
+            }
+            node.loop.submit(() -> node.loop.scheduleWithFixedDelay(node::tick, 0, TICK_MS,
+                TimeUnit.MILLISECONDS)).sync();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while starting", e);
+        }
+        LOG.info("edge {} listens to clients at {}", settings.name(), front);
+        return node;
+    }
+
+    private void listen(EventLoopGroup group, InetSocketAddress at, Consumer<Channel> init)
+            throws InterruptedException {
+        new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    init.accept(channel);
+                }
+            }).bind(at).sync();
+    }
+
+    private void initClient(Channel channel) {
+        channel.pipeline().addLast(new HttpServerCodec(MAX_LINE, MAX_HEADER, MAX_CHUNK),
+            new ClientConnection(this));
+    }
+
+    private void initReadiness(Channel channel) {
+        channel.pipeline().addLast(new HttpServerCodec(), new SimpleChannelInboundHandler<HttpRequest>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, HttpRequest request) {
+                FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    Unpooled.EMPTY_BUFFER);
+                HttpUtil.setContentLength(response, 0);
+                boolean keep = HttpUtil.isKeepAlive(request);
+                HttpUtil.setKeepAlive(response, keep);
+                var written = ctx.writeAndFlush(response);
+                if (!keep) {
+                    written.addListener(ChannelFutureListener.CLOSE);
+                }
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                ctx.close();
+            }
+        });
+    }
+
+    private boolean isReady() {
+        return !draining && state.canServe();
+    }
+
+    private void tick() {
+        try {
+            long now = now();
+            control.tick();
+            state.quotas().place(state.edges(), !control.inContact());
+            List.copyOf(active).forEach(exchange -> exchange.watch(now));
+            if (now >= nextSweepMs) {
+                nextSweepMs = now + SWEEP_MS;
+                List.copyOf(clients).forEach(client -> client.checkIdle(now));
+                sweepConnections();
+            }
+            if (draining) {
+                drain(now);
+            }
+        } catch (RuntimeException e) {
+            LOG.error("a tick failed", e);
+        }
+    }
+
+    private void sweepConnections() {
+        connections.keepOnly(knownServers);
+    }
+
+    private Set<String> knownServers = Set.of();
+
+    // ---- the end ----
+
+    /** Sends clients elsewhere, ends what is in hand, and returns when that is done or time is up. */
+    public void shutDown() throws InterruptedException {
+        loop.execute(() -> {
+            draining = true;
+            drainingSinceMs = now();
+            LOG.info("draining: {} requests in hand", active.size());
+        });
+        ended.await();
+    }
+
+    private void drain(long now) {
+        long since = now - drainingSinceMs;
+        if (since >= LINGER_MS) {
+            List.copyOf(clients).forEach(ClientConnection::closeIfIdle);
+        }
+        boolean done = since >= LINGER_MS && clients.isEmpty();
+        if (done || since >= settings.bounds().graceMs() - KILL_MARGIN_MS) {
+            LOG.info("drained: {} requests left", active.size());
+            ended.countDown();
+        }
+    }
+
+    // ---- what the control plane tells ----
+
+    @Override
+    public void value(RegisterValue value) {
+        ConfigResult read = ConfigReader.read(DocumentCodec.decode(value.document()));
+        if (read instanceof ConfigResult.Valid valid) {
+            revision = value.revision();
+            state.configure(now(), valid.config());
+            LOG.info("in force: {}", value);
+        } else {
+            LOG.error("a configuration in force can't be read: {}", read);
+        }
+    }
+
+    @Override
+    public void servers(Collection<ServerRecord> servers) {
+        state.servers(servers);
+        knownServers = servers.stream().map(ServerRecord::id).collect(Collectors.toSet());
+    }
+
+    @Override
+    public void place(int edges, int number) {
+        state.place(edges, number);
+    }
+
+    @Override
+    public void total(String tenant, long amount, long ownReported, boolean first) {
+        state.quotas().total(now(), tenant, amount, ownReported, first);
+    }
+
+    @Override
+    public Map<String, Long> used() {
+        return state.quotas().used();
+    }
+
+    @Override
+    public long revision() {
+        return revision;
+    }
+
+    // ---- what the parts share ----
+
+    @Override
+    public EventLoop loop() {
+        return loop;
+    }
+
+    @Override
+    public long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    @Override
+    public FleetState state() {
+        return state;
+    }
+
+    @Override
+    public UpstreamConnections connections() {
+        return connections;
+    }
+
+    @Override
+    public Set<Exchange> active() {
+        return active;
+    }
+
+    @Override
+    public boolean hasEngine(String backend) {
+        FleetConfig config = state.config();
+        Backend found = config == null ? null : config.backends().get(backend);
+        return found != null && found.hasEngine();
+    }
+
+    @Override
+    public void misdirected(String serverId) {
+        control.misdirected(serverId);
+    }
+
+    @Override
+    public boolean isDraining() {
+        return draining;
+    }
+
+    @Override
+    public Set<ClientConnection> clients() {
+        return clients;
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/router/FleetState.java
@@ -0,0 +1,126 @@
+package poppynotch.router;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import poppynotch.config.Backend;
+import poppynotch.config.FleetConfig;
+import poppynotch.config.Route;
+import poppynotch.pool.QuotaLedger;
+import poppynotch.pool.RetryBudget;
+import poppynotch.pool.ServerPool;
+import poppynotch.settings.NodeSettings;
+import poppynotch.wire.ServerRecord;
+import poppynotch.wire.ServerState;
+
+/** What an edge knows of the fleet: the configuration in force, and a pool and a budget for each service. */
+final class FleetState {
+
+    private final NodeSettings settings;
+    private final Map<String, ServerPool> pools = new HashMap<>();
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final QuotaLedger quotas;
+    private final SplittableRandom random = new SplittableRandom();
+    private FleetConfig config;
+    private Collection<ServerRecord> servers = List.of();
+    private int edges = 1;
+    private int number;
+
+    FleetState(NodeSettings settings) {
+        this.settings = settings;
+        quotas = new QuotaLedger(settings.bounds().quotaSlackTokens());
+    }
+
+    /** The configuration in force, or null before the first. */
+    FleetConfig config() {
+        return config;
+    }
+
+    QuotaLedger quotas() {
+        return quotas;
+    }
+
+    /** Whether requests can be served. */
+    boolean canServe() {
+        return config != null && pools.values().stream().anyMatch(ServerPool::hasServers);
+    }
+
+    void configure(long nowMs, FleetConfig newer) {
+        config = newer;
+        for (Backend backend : newer.backends().values()) {
+            ServerPool pool = pools.get(backend.name());
+            if (pool == null) {
+                pool = new ServerPool(backend, settings.zone());
+                pool.place(edges, number);
+                pools.put(backend.name(), pool);
+            }
+            pool.configure(backend);
+        }
+        pools.keySet().retainAll(newer.backends().keySet());
+        budgets.keySet().retainAll(newer.backends().keySet());
+        quotas.configure(nowMs, newer.tenants().values());
+        distribute();
+    }
+
+    /** The servers that are known from now on, in whatever state. */
+    void servers(Collection<ServerRecord> known) {
+        servers = List.copyOf(known);
+        distribute();
+    }
+
+    private void distribute() {
+        Map<String, List<ServerRecord>> ready = new HashMap<>();
+        for (ServerRecord server : servers) {
+            if (server.state() == ServerState.READY) {
+                ready.computeIfAbsent(server.backend(), key -> new java.util.ArrayList<>()).add(server);
+            }
+        }
+        pools.forEach((name, pool) -> pool.update(ready.getOrDefault(name, List.of())));
+    }
+
+    /** How many edges there are, and which of them this one is. */
+    void place(int all, int ownNumber) {
+        if (all != edges || ownNumber != number) {
+            edges = all;
+            number = ownNumber;
+            pools.values().forEach(pool -> pool.place(all, ownNumber));
+            budgets.values().forEach(budget -> budget.place(all, false));
+        }
+    }
+
+    int edges() {
+        return edges;
+    }
+
+    ServerPool pool(String backend) {
+        return pools.get(backend);
+    }
+
+    RetryBudget budget(String backend) {
+        return budgets.computeIfAbsent(backend, name -> {
+            RetryBudget budget = new RetryBudget(settings.bounds().retryBudgetRatio(),
+                settings.bounds().retryBudgetSlack(), settings.bounds().budgetWindowMs());
+            budget.place(edges, true);
+            return budget;
+        });
+    }
+
+    /** The service that a request of a route goes to, drawn by the weights. */
+    String backendOf(Route route) {
+        List<Route.WeightedBackend> all = route.backends();
+        if (all.size() == 1) {
+            return all.get(0).backend();
+        }
+        double sum = all.stream().mapToDouble(Route.WeightedBackend::weight).sum();
+        double drawn = random.nextDouble() * sum;
+        for (Route.WeightedBackend part : all) {
+            drawn -= part.weight();
+            if (drawn < 0) {
+                return part.backend();
+            }
+        }
+        return all.get(all.size() - 1).backend();
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/router/package-info.java
@@ -0,0 +1,2 @@
+/** The data plane: clients in, servers out. */
+package poppynotch.router;
--- /dev/null
+++ b/system/src/main/java/poppynotch/settings/package-info.java
@@ -0,0 +1,2 @@
+/** One process's settings. */
+package poppynotch.settings;
--- /dev/null
+++ b/system/src/main/java/poppynotch/wire/Message.java
@@ -0,0 +1,96 @@
+package poppynotch.wire;
+
+import java.util.List;
+import poppynotch.register.AcceptorSet;
+import poppynotch.register.Ballot;
+import poppynotch.register.RegisterValue;
+import poppynotch.register.Vote;
+
+/** Everything that processes of the fleet send to each other. */
+public sealed interface Message {
+
+    /** The first message on a connection between core processes. */
+    record Hello(String sender, long incarnation) implements Message {
+    }
+
+    /**
+     * A core process's heartbeat to another.
+     *
+     * @param sequence echoed by the receiver
+     * @param revision of the newest value known to be chosen; -1 for none
+     * @param chosen the ballot of that value
+     * @param accepted the ballot that the sender's acceptor last accepted
+     * @param promised the highest ballot that it has promised
+     * @param acceptors who decides, as far as the sender knows
+     * @param cores control addresses of all core processes heard of lately
+     * @param heard registrations since the last heartbeat that changed nothing
+     * @param registryDigest differs where registries differ
+     */
+    record CoreBeat(long sequence, long revision, Ballot chosen, Ballot accepted, Ballot promised,
+            AcceptorSet acceptors, boolean registryComplete, long registryDigest, List<String> cores,
+            List<Heard> heard, List<EdgeLease> edges) implements Message {
+    }
+
+    /** A registration of a known server. */
+    record Heard(String id, long sequence) {
+    }
+
+    /** The answer to a heartbeat. */
+    record BeatEcho(long sequence) implements Message {
+    }
+
+    /** A vote for the register, or a question for one. */
+    record RegisterVote(Vote vote) implements Message {
+    }
+
+    /** A chosen value. */
+    record Learn(Ballot ballot, RegisterValue value) implements Message {
+    }
+
+    /** Asks for the newest chosen value. */
+    record FetchValue() implements Message {
+    }
+
+    /** Changes of the registry; {@code request} is acknowledged unless it is 0. */
+    record ServersChanged(long request, List<ServerRecord> servers) implements Message {
+    }
+
+    /** The receiver holds the changes of that request. */
+    record ServersHeld(long request) implements Message {
+    }
+
+    /** Asks for the whole registry. */
+    record FetchRegistry() implements Message {
+    }
+
+    /** The whole registry of a core process. */
+    record RegistrySnapshot(boolean complete, List<ServerRecord> servers) implements Message {
+    }
+
+    /**
+     * An edge's long poll, which renews its lease.
+     *
+     * @param revision of the configuration in force at the edge; -1 for none
+     * @param coreIncarnation the core life that {@code registryVersion} belongs to
+     * @param usage what tenants have used at this edge since its start, where it has changed
+     */
+    record Poll(String edge, long incarnation, long poll, long revision, long coreIncarnation,
+            long registryVersion, List<Usage> usage) implements Message {
+    }
+
+    /**
+     * The answer to a long poll.
+     *
+     * @param quorumAgeMs time since the core process last heard from a quorum
+     * @param value the configuration, or null where the edge has the newest
+     * @param wholeRegistry the servers are all that are known, not changes
+     * @param registryComplete the core process surely knows all servers
+     * @param edges how many edges hold a lease, and {@code number} which of them this one is
+     * @param usage what tenants have used at all edges, as the core process has counted since its start
+     */
+    record PollReply(long poll, long coreIncarnation, int quorumAgeMs, RegisterValue value,
+            boolean wholeRegistry, boolean registryComplete, long registryVersion,
+            List<ServerRecord> servers, int edges, int number, List<Usage> usage, List<String> cores)
+            implements Message {
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/wire/package-info.java
@@ -0,0 +1,2 @@
+/** What processes of the fleet say to each other. */
+package poppynotch.wire;
--- /dev/null
+++ b/transport/src/main/java/poppynotch/transport/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP parts that the sidecar in service and the router fleet share. */
+package poppynotch.transport;
