--- a/register/src/main/java/poppynotch/register/Acceptor.java
+++ b/register/src/main/java/poppynotch/register/Acceptor.java
@@ -3,9 +3,9 @@
 import java.util.Optional;
 
 /**
- * One replica of the register. It does no I/O: its answers must not leave before the state that goes with
- * them is on disk. A state that could not be written may stay here, as a vote that nobody has heard of harms
- * nothing.
+ * One replica of the register. It does no I/O: its answers must not leave before the state that
+ * goes with them is on disk. A state that could not be written may stay here, as a vote that nobody
+ * has heard of harms nothing.
  */
 public final class Acceptor {
 
@@ -14,13 +14,14 @@
      *
      * @param state null where nothing has changed
      */
-    public record Answer(Vote vote, AcceptorState state) {
-    }
+    public record Answer(Vote vote, AcceptorState state) {}
 
     /** Null while it must not vote. */
     private AcceptorState state;
 
-    /** An acceptor that goes on from {@code state}, or that must not vote yet where that is empty. */
+    /**
+     * An acceptor that goes on from {@code state}, or that must not vote yet where that is empty.
+     */
     public Acceptor(Optional<AcceptorState> state) {
         this.state = state.orElse(null);
     }
@@ -60,8 +61,9 @@
         }
         boolean isNew = prepare.ballot().compareTo(state.promised()) > 0;
         state = state.promise(prepare.ballot());
-        return new Answer(new Vote.Promise(prepare.ballot(), state.accepted(), state.value()),
-            isNew ? state : null);
+        return new Answer(
+                new Vote.Promise(prepare.ballot(), state.accepted(), state.value()),
+                isNew ? state : null);
     }
 
     private Answer accept(Vote.Accept accept) {
--- a/register/src/main/java/poppynotch/register/AcceptorSet.java
+++ b/register/src/main/java/poppynotch/register/AcceptorSet.java
@@ -6,7 +6,8 @@
 import java.util.Set;
 
 /**
- * The acceptors that decide on a value. While the set changes, a majority of the former set must agree too.
+ * The acceptors that decide on a value. While the set changes, a majority of the former set must
+ * agree too.
  *
  * @param members addresses of the acceptors
  * @param former addresses before the change in progress; empty when none is
@@ -48,7 +49,10 @@
         return all;
     }
 
-    /** Whether {@code agreed} holds a majority of the members, and of the former members where there are some. */
+    /**
+     * Whether {@code agreed} holds a majority of the members, and of the former members where there
+     * are some.
+     */
     public boolean isQuorum(Set<String> agreed) {
         return hasMajority(members, agreed) && (former.isEmpty() || hasMajority(former, agreed));
     }
@@ -58,15 +62,18 @@
     }
 
     /**
-     * Whether {@code others} intersects every quorum that {@code lost} may have been part of, so that they
-     * know whatever was chosen with its vote.
+     * Whether {@code others} intersects every quorum that {@code lost} may have been part of, so
+     * that they know whatever was chosen with its vote.
      */
     public boolean coversQuorumsOf(String lost, Set<String> others) {
         return covers(members, lost, others) && (former.isEmpty() || covers(former, lost, others));
     }
 
     private static boolean covers(List<String> set, String lost, Set<String> others) {
-        long answered = set.stream().filter(member -> !member.equals(lost) && others.contains(member)).count();
+        long answered =
+                set.stream()
+                        .filter(member -> !member.equals(lost) && others.contains(member))
+                        .count();
         int quorum = set.size() / 2 + 1;
         return !set.contains(lost) ? answered >= quorum : answered >= set.size() - quorum + 1;
     }
--- a/register/src/main/java/poppynotch/register/AppliedChange.java
+++ b/register/src/main/java/poppynotch/register/AppliedChange.java
@@ -6,5 +6,4 @@
  * @param digest of its content
  * @param generation the version of the configuration that it made
  */
-public record AppliedChange(long digest, long generation) {
-}
+public record AppliedChange(long digest, long generation) {}
--- a/register/src/main/java/poppynotch/register/Ballot.java
+++ b/register/src/main/java/poppynotch/register/Ballot.java
@@ -1,7 +1,8 @@
 package poppynotch.register;
 
 /**
- * The number of a round. Ballots are ordered by counter, then by proposer, and no two rounds share one.
+ * The number of a round. Ballots are ordered by counter, then by proposer, and no two rounds share
+ * one.
  *
  * @param counter grows with each round that a proposer has seen
  * @param proposer unique to one life of one proposer
--- a/register/src/main/java/poppynotch/register/Change.java
+++ b/register/src/main/java/poppynotch/register/Change.java
@@ -11,12 +11,10 @@
     sealed interface Decision {
 
         /** The register shall hold {@code value} from now on. */
-        record Replace(RegisterValue value) implements Decision {
-        }
+        record Replace(RegisterValue value) implements Decision {}
 
         /** The value stays. */
-        record Keep() implements Decision {
-        }
+        record Keep() implements Decision {}
     }
 
     /** A change that only reads. */
--- a/register/src/main/java/poppynotch/register/Proposal.java
+++ b/register/src/main/java/poppynotch/register/Proposal.java
@@ -8,19 +8,21 @@
 import java.util.function.Consumer;
 
 /**
- * One change of the register in two rounds of votes: promises that tell the newest value, then acceptance of
- * what the change makes of it. It is told the time and does no I/O. Rounds that lose against a higher ballot
- * are tried again after a random pause, until the deadline.
+ * One change of the register in two rounds of votes: promises that tell the newest value, then
+ * acceptance of what the change makes of it. It is told the time and does no I/O. Rounds that lose
+ * against a higher ballot are tried again after a random pause, until the deadline.
  *
- * <p>A value is answered for only once it is chosen. A change that keeps the value is answered for without a
- * second round if a whole quorum holds that value under one ballot; else the value is accepted anew first, so
- * that no other value accepted by a few can come back.
+ * <p>A value is answered for only once it is chosen. A change that keeps the value is answered for
+ * without a second round if a whole quorum holds that value under one ballot; else the value is
+ * accepted anew first, so that no other value accepted by a few can come back.
  */
 public final class Proposal {
 
     /** A pause between rounds that lost, in ms: the first is up to this, later ones up to more. */
     private static final int FIRST_PAUSE_MS = 15;
+
     private static final int MOST_PAUSE_MS = 160;
+
     /** A round without a quorum of answers is begun anew after this time, as messages get lost. */
     private static final long ROUND_MS = 400;
 
@@ -30,7 +32,12 @@
         void send(String acceptor, Vote vote);
     }
 
-    private enum Phase { PREPARING, ACCEPTING, PAUSING, ENDED }
+    private enum Phase {
+        PREPARING,
+        ACCEPTING,
+        PAUSING,
+        ENDED
+    }
 
     private final Change change;
     private final long proposer;
@@ -46,8 +53,12 @@
     private final Set<String> accepted = new HashSet<>();
     private RegisterValue proposed;
     private boolean replacing;
-    /** The value of this round is the one found, to be chosen before the change is applied to it. */
+
+    /**
+     * The value of this round is the one found, to be chosen before the change is applied to it.
+     */
     private boolean settling;
+
     private long phaseEndsMs;
     private int pauseMs = FIRST_PAUSE_MS;
 
@@ -60,8 +71,15 @@
      * @param deadlineMs when to give up, on the clock of {@link #start} and {@link #tick}
      * @param end told once
      */
-    public Proposal(Change change, AcceptorSet acceptors, Ballot highest, long proposer, long deadlineMs,
-            Port port, Consumer<Outcome> end, long seed) {
+    public Proposal(
+            Change change,
+            AcceptorSet acceptors,
+            Ballot highest,
+            long proposer,
+            long deadlineMs,
+            Port port,
+            Consumer<Outcome> end,
+            long seed) {
         this.change = change;
         this.acceptors = acceptors;
         this.ballot = highest;
@@ -100,15 +118,18 @@
 
     /** An acceptor has answered. */
     public void on(long nowMs, String from, Vote vote) {
-        if (vote instanceof Vote.Promise promise && phase == Phase.PREPARING
+        if (vote instanceof Vote.Promise promise
+                && phase == Phase.PREPARING
                 && promise.ballot().equals(ballot)) {
             promises.put(from, promise);
             weighPromises(nowMs);
-        } else if (vote instanceof Vote.Accepted yes && phase == Phase.ACCEPTING
+        } else if (vote instanceof Vote.Accepted yes
+                && phase == Phase.ACCEPTING
                 && yes.ballot().equals(ballot)) {
             accepted.add(from);
             weighAcceptances(nowMs);
-        } else if (vote instanceof Vote.Rejected no && no.ballot().equals(ballot)
+        } else if (vote instanceof Vote.Rejected no
+                && no.ballot().equals(ballot)
                 && (phase == Phase.PREPARING || phase == Phase.ACCEPTING)) {
             ballot = Ballot.max(ballot, no.promised());
             phase = Phase.PAUSING;
@@ -134,8 +155,9 @@
         if (!deciding.equals(acceptors)) {
             // A quorum of the set known so far tells of the set that has followed it.
             acceptors = deciding;
-            deciding.everyone().stream().filter(acceptor -> !promises.containsKey(acceptor))
-                .forEach(acceptor -> port.send(acceptor, new Vote.Prepare(ballot)));
+            deciding.everyone().stream()
+                    .filter(acceptor -> !promises.containsKey(acceptor))
+                    .forEach(acceptor -> port.send(acceptor, new Vote.Prepare(ballot)));
             weighPromises(nowMs);
             return;
         }
@@ -167,17 +189,19 @@
 
     private Vote.Promise newest() {
         return promises.values().stream()
-            .max((a, b) -> a.accepted().compareTo(b.accepted())).orElseThrow();
+                .max((a, b) -> a.accepted().compareTo(b.accepted()))
+                .orElseThrow();
     }
 
     /** Whether a quorum holds it under one ballot. */
     private boolean isChosen(Vote.Promise newest) {
         Set<String> holders = new HashSet<>();
-        promises.forEach((from, promise) -> {
-            if (promise.accepted().equals(newest.accepted())) {
-                holders.add(from);
-            }
-        });
+        promises.forEach(
+                (from, promise) -> {
+                    if (promise.accepted().equals(newest.accepted())) {
+                        holders.add(from);
+                    }
+                });
         return newest.value().acceptors().isQuorum(holders);
     }
 
--- a/register/src/main/java/poppynotch/register/Recovery.java
+++ b/register/src/main/java/poppynotch/register/Recovery.java
@@ -5,9 +5,9 @@
 import java.util.Optional;
 
 /**
- * How a replica that has lost its disk gets its vote back. Others promise it a new round, enough of them to
- * meet every quorum that its lost votes may have been part of; then no older round can be completed with
- * those votes, and whatever was chosen with them is known. It does no I/O.
+ * How a replica that has lost its disk gets its vote back. Others promise it a new round, enough of
+ * them to meet every quorum that its lost votes may have been part of; then no older round can be
+ * completed with those votes, and whatever was chosen with them is known. It does no I/O.
  */
 public final class Recovery {
 
@@ -21,8 +21,11 @@
     private Ballot ballot;
     private long roundEndsMs;
 
-    /** A recovery of {@code self} by the acceptors known so far; newer sets are found by its rounds. */
-    public Recovery(String self, AcceptorSet acceptors, Ballot highest, long proposer, Proposal.Port port) {
+    /**
+     * A recovery of {@code self} by the acceptors known so far; newer sets are found by its rounds.
+     */
+    public Recovery(
+            String self, AcceptorSet acceptors, Ballot highest, long proposer, Proposal.Port port) {
         this.self = self;
         this.acceptors = acceptors;
         this.ballot = highest;
@@ -63,14 +66,17 @@
         if (!acceptors.coversQuorumsOf(self, promises.keySet())) {
             return Optional.empty();
         }
-        Vote.Promise newest = promises.values().stream()
-            .max((a, b) -> a.accepted().compareTo(b.accepted())).orElseThrow();
+        Vote.Promise newest =
+                promises.values().stream()
+                        .max((a, b) -> a.accepted().compareTo(b.accepted()))
+                        .orElseThrow();
         AcceptorSet deciding = newest.value().acceptors();
         if (!deciding.equals(acceptors)) {
             // Those asked know of a set that has followed the one known so far.
             acceptors = deciding;
-            deciding.everyone().stream().filter(acceptor -> !promises.containsKey(acceptor))
-                .forEach(this::ask);
+            deciding.everyone().stream()
+                    .filter(acceptor -> !promises.containsKey(acceptor))
+                    .forEach(this::ask);
             return weigh();
         }
         return Optional.of(new AcceptorState(ballot, newest.accepted(), newest.value()));
--- a/register/src/main/java/poppynotch/register/RegisterValue.java
+++ b/register/src/main/java/poppynotch/register/RegisterValue.java
@@ -13,10 +13,17 @@
  * @param document the configuration as its owner encodes it; empty before the first
  * @param history the latest changes, the newest last
  */
-public record RegisterValue(long revision, AcceptorSet acceptors, long generation, byte[] document,
+public record RegisterValue(
+        long revision,
+        AcceptorSet acceptors,
+        long generation,
+        byte[] document,
         List<AppliedChange> history) {
 
-    /** Changes that are remembered: more than operators have under way while one of them is sent again. */
+    /**
+     * Changes that are remembered: more than operators have under way while one of them is sent
+     * again.
+     */
     public static final int HISTORY = 400;
 
     /** The value of a register that nobody has written. */
@@ -38,8 +45,12 @@
         List<AppliedChange> changes = new ArrayList<>(history);
         changes.add(new AppliedChange(digest, newGeneration));
         int surplus = Math.max(0, changes.size() - HISTORY);
-        return new RegisterValue(revision + 1, acceptors, newGeneration, newDocument,
-            changes.subList(surplus, changes.size()));
+        return new RegisterValue(
+                revision + 1,
+                acceptors,
+                newGeneration,
+                newDocument,
+                changes.subList(surplus, changes.size()));
     }
 
     /** The value after a change of the acceptors. */
@@ -49,9 +60,12 @@
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof RegisterValue value && revision == value.revision
-            && generation == value.generation && acceptors.equals(value.acceptors)
-            && Arrays.equals(document, value.document) && history.equals(value.history);
+        return other instanceof RegisterValue value
+                && revision == value.revision
+                && generation == value.generation
+                && acceptors.equals(value.acceptors)
+                && Arrays.equals(document, value.document)
+                && history.equals(value.history);
     }
 
     @Override
@@ -61,7 +75,13 @@
 
     @Override
     public String toString() {
-        return "revision " + revision + ", generation " + generation + ", " + document.length + " bytes, "
-            + acceptors;
+        return "revision "
+                + revision
+                + ", generation "
+                + generation
+                + ", "
+                + document.length
+                + " bytes, "
+                + acceptors;
     }
 }
--- a/register/src/main/java/poppynotch/register/StateFiles.java
+++ b/register/src/main/java/poppynotch/register/StateFiles.java
@@ -13,14 +13,16 @@
 import java.util.zip.CRC32;
 
 /**
- * An acceptor's state on disk: two slots that are written whole in turn, each with a short log of what has
- * changed since. A state counts as kept once {@link #write} has returned. Torn and missing writes are found
- * by checksums; the newest slot that is whole wins, and its log counts up to the first record that is not.
+ * An acceptor's state on disk: two slots that are written whole in turn, each with a short log of
+ * what has changed since. A state counts as kept once {@link #write} has returned. Torn and missing
+ * writes are found by checksums; the newest slot that is whole wins, and its log counts up to the
+ * first record that is not.
  */
 public final class StateFiles implements Closeable {
 
     /** A log longer than this gives way to the other slot. */
     private static final long LOG_BYTES = 256 * 1024;
+
     private static final int MOST_RECORD = 32 * 1024 * 1024;
     private static final byte PROMISE = 1;
     private static final byte STATE = 2;
@@ -29,10 +31,13 @@
     private final RandomAccessFile[] slots = new RandomAccessFile[SLOTS];
     private final RandomAccessFile[] logs = new RandomAccessFile[SLOTS];
     private int current = -1;
+
     /** The number of the current slot's content; records of its log carry it too. */
     private long sequence;
+
     private long logEnd;
     private AcceptorState kept;
+
     /** The last write did not come through: the log's end is not known any more. */
     private boolean suspect;
 
@@ -68,17 +73,24 @@
     private void replayLog() throws IOException {
         logEnd = 0;
         RandomAccessFile log = logs[current];
-        for (DataInputStream record = record(log, 0); record != null; record = record(log, logEnd)) {
+        for (DataInputStream record = record(log, 0);
+                record != null;
+                record = record(log, logEnd)) {
             if (record.readLong() != sequence) {
                 return;
             }
-            kept = record.readByte() == PROMISE
-                ? kept.promise(ValueCodec.readBallot(record)) : readState(record);
+            kept =
+                    record.readByte() == PROMISE
+                            ? kept.promise(ValueCodec.readBallot(record))
+                            : readState(record);
             logEnd = log.getFilePointer();
         }
     }
 
-    /** Keeps a state; when this returns, no loss of power loses it. An exception says that it may be lost. */
+    /**
+     * Keeps a state; when this returns, no loss of power loses it. An exception says that it may be
+     * lost.
+     */
     public void write(AcceptorState state) throws IOException {
         boolean whole = suspect || current < 0 || logEnd > LOG_BYTES;
         suspect = true;
@@ -95,7 +107,8 @@
         int next = current < 0 ? 0 : (current + 1) % SLOTS;
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(bytes);
-        // A slot that did not come through may be whole on disk all the same: its number is used up.
+        // A slot that did not come through may be whole on disk all the same: its number is used
+        // up.
         sequence++;
         out.writeLong(sequence);
         writeState(out, state);
@@ -120,7 +133,8 @@
     }
 
     private static long put(RandomAccessFile file, long at, byte[] content) throws IOException {
-        ByteArrayOutputStream bytes = new ByteArrayOutputStream(content.length + Long.BYTES + Integer.BYTES);
+        ByteArrayOutputStream bytes =
+                new ByteArrayOutputStream(content.length + Long.BYTES + Integer.BYTES);
         DataOutputStream out = new DataOutputStream(bytes);
         out.writeInt(content.length);
         out.writeLong(checksum(content));
@@ -137,13 +151,16 @@
             file.seek(at);
             int length = file.readInt();
             long checksum = file.readLong();
-            if (length < 0 || length > MOST_RECORD || length > file.length() - file.getFilePointer()) {
+            if (length < 0
+                    || length > MOST_RECORD
+                    || length > file.length() - file.getFilePointer()) {
                 return null;
             }
             byte[] content = new byte[length];
             file.readFully(content);
             return checksum(content) == checksum
-                ? new DataInputStream(new ByteArrayInputStream(content)) : null;
+                    ? new DataInputStream(new ByteArrayInputStream(content))
+                    : null;
         } catch (EOFException e) {
             return null;
         }
@@ -163,8 +180,8 @@
     }
 
     private static AcceptorState readState(DataInputStream in) throws IOException {
-        return new AcceptorState(ValueCodec.readBallot(in), ValueCodec.readBallot(in),
-            ValueCodec.readValue(in));
+        return new AcceptorState(
+                ValueCodec.readBallot(in), ValueCodec.readBallot(in), ValueCodec.readValue(in));
     }
 
     @Override
--- a/register/src/main/java/poppynotch/register/ValueCodec.java
+++ b/register/src/main/java/poppynotch/register/ValueCodec.java
@@ -11,10 +11,10 @@
 
     /** More than any document: a longer one is a damaged record. */
     private static final int MOST_BYTES = 16 * 1024 * 1024;
+
     private static final int MOST_ENTRIES = 4096;
 
-    private ValueCodec() {
-    }
+    private ValueCodec() {}
 
     /** Writes a ballot in 16 bytes. */
     public static void writeBallot(DataOutputStream out, Ballot ballot) throws IOException {
--- a/register/src/main/java/poppynotch/register/Vote.java
+++ b/register/src/main/java/poppynotch/register/Vote.java
@@ -4,22 +4,17 @@
 public sealed interface Vote {
 
     /** Asks for the promise to take part in no round below {@code ballot}. */
-    record Prepare(Ballot ballot) implements Vote {
-    }
+    record Prepare(Ballot ballot) implements Vote {}
 
     /** The promise, with what was accepted last. */
-    record Promise(Ballot ballot, Ballot accepted, RegisterValue value) implements Vote {
-    }
+    record Promise(Ballot ballot, Ballot accepted, RegisterValue value) implements Vote {}
 
     /** Asks to accept {@code value}. */
-    record Accept(Ballot ballot, RegisterValue value) implements Vote {
-    }
+    record Accept(Ballot ballot, RegisterValue value) implements Vote {}
 
     /** The value of this ballot is accepted and on disk. */
-    record Accepted(Ballot ballot) implements Vote {
-    }
+    record Accepted(Ballot ballot) implements Vote {}
 
     /** A higher ballot was promised already. */
-    record Rejected(Ballot ballot, Ballot promised) implements Vote {
-    }
+    record Rejected(Ballot ballot, Ballot promised) implements Vote {}
 }
--- /dev/null
+++ b/register/src/test/java/poppynotch/register/AcceptorSetTest.java
@@ -0,0 +1,38 @@
+package poppynotch.register;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class AcceptorSetTest {
+
+    private static final AcceptorSet THREE = AcceptorSet.of(List.of("a", "b", "c"));
+    private static final AcceptorSet FOUR = AcceptorSet.of(List.of("a", "b", "c", "d"));
+
+    @Test
+    void aQuorumIsAMajority() {
+        assertThat(THREE.isQuorum(Set.of("a", "b"))).isTrue();
+        assertThat(THREE.isQuorum(Set.of("a", "x"))).isFalse();
+        assertThat(FOUR.isQuorum(Set.of("a", "b"))).isFalse();
+    }
+
+    @Test
+    void whileASetChangesBothSetsAgree() {
+        AcceptorSet changing = THREE.changingTo(List.of("a", "b", "d"));
+        assertThat(changing.isQuorum(Set.of("a", "d"))).isFalse();
+        assertThat(changing.isQuorum(Set.of("a", "b"))).isTrue();
+        assertThat(changing.everyone()).containsExactly("a", "b", "c", "d");
+        assertThat(changing.settled()).isEqualTo(AcceptorSet.of(List.of("a", "b", "d")));
+    }
+
+    @Test
+    void whoeverLostItsDiskAsksEnoughToMeetItsLostVotes() {
+        assertThat(THREE.coversQuorumsOf("c", Set.of("a"))).isFalse();
+        assertThat(THREE.coversQuorumsOf("c", Set.of("a", "b"))).isTrue();
+        assertThat(FOUR.coversQuorumsOf("c", Set.of("a", "b"))).isTrue();
+        assertThat(FOUR.coversQuorumsOf("c", Set.of("a", "c"))).isFalse();
+        assertThat(THREE.coversQuorumsOf("z", Set.of("a", "b"))).isTrue();
+    }
+}
--- a/system/src/main/java/poppynotch/app/ControlPlaneCommand.java
+++ b/system/src/main/java/poppynotch/app/ControlPlaneCommand.java
@@ -6,13 +6,25 @@
 import poppynotch.control.CoreNode;
 import poppynotch.settings.NodeSettings;
 
-/** Runs a core process: it keeps the configuration, the registry of servers and the edges' leases. */
+/**
+ * Runs a core process: it keeps the configuration, the registry of servers and the edges' leases.
+ */
 @Parameters(commandDescription = "Run a core process: keep configuration, servers and leases")
 final class ControlPlaneCommand extends RoleCommand {
 
     @Override
     Running start(NodeSettings settings, EventLoopGroup group) throws IOException {
-        CoreNode.start(settings, group);
-        return () -> { };
+        CoreNode core = CoreNode.start(settings, group);
+        return new Running() {
+            @Override
+            public void reload(NodeSettings changed) {
+                core.reload(changed);
+            }
+
+            @Override
+            public void shutDown() {
+                // What was acknowledged is on disk and at others: there is nothing to wait for.
+            }
+        };
     }
 }
--- a/system/src/main/java/poppynotch/app/EdgeCommand.java
+++ b/system/src/main/java/poppynotch/app/EdgeCommand.java
@@ -12,6 +12,17 @@
 
     @Override
     Running start(NodeSettings settings, EventLoopGroup group) throws IOException {
-        return EdgeNode.start(settings, group)::shutDown;
+        EdgeNode edge = EdgeNode.start(settings, group);
+        return new Running() {
+            @Override
+            public void reload(NodeSettings changed) {
+                edge.reload(changed);
+            }
+
+            @Override
+            public void shutDown() throws InterruptedException {
+                edge.shutDown();
+            }
+        };
     }
 }
--- a/system/src/main/java/poppynotch/app/LogConfigurator.java
+++ b/system/src/main/java/poppynotch/app/LogConfigurator.java
@@ -9,7 +9,10 @@
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.spi.ContextAwareBase;
 
-/** Sets up logs without a file: one line an event, on standard error. the property {@code poppynotch.log} names a level. */
+/**
+ * Sets up logs without a file: one line an event, on standard error. the property {@code
+ * poppynotch.log} names a level.
+ */
 @ConfiguratorRank(ConfiguratorRank.CUSTOM_HIGH_PRIORITY)
 public final class LogConfigurator extends ContextAwareBase implements Configurator {
 
--- a/system/src/main/java/poppynotch/app/Main.java
+++ b/system/src/main/java/poppynotch/app/Main.java
@@ -11,6 +11,7 @@
 
     /** Exit code where the command line or the settings are wrong. */
     static final int EXIT_USAGE = 2;
+
     private static final int EXIT_FAILED = 1;
 
     /** A subcommand. */
@@ -19,8 +20,7 @@
         int run() throws IOException, InterruptedException;
     }
 
-    private Main() {
-    }
+    private Main() {}
 
     /** Runs the subcommand that the first argument names. */
     public static void main(String[] args) {
@@ -32,6 +32,9 @@
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("edge", new EdgeCommand());
         commands.put("control-plane", new ControlPlaneCommand());
+        commands.put("check", new CheckCommand());
+        commands.put("status", new StatusCommand());
+        commands.put("demo", new DemoCommand());
         JCommander parser = JCommander.newBuilder().programName("poppynotch").build();
         commands.forEach(parser::addCommand);
         try {
--- a/system/src/main/java/poppynotch/app/SmallBuffers.java
+++ b/system/src/main/java/poppynotch/app/SmallBuffers.java
@@ -3,8 +3,7 @@
 /** Sets the network library's defaults for small machines, before any of it is loaded. */
 final class SmallBuffers {
 
-    private SmallBuffers() {
-    }
+    private SmallBuffers() {}
 
     static void configure() {
         set("io.netty.allocator.type", "pooled");
--- a/system/src/main/java/poppynotch/config/ConfigPatch.java
+++ b/system/src/main/java/poppynotch/config/ConfigPatch.java
@@ -17,8 +17,7 @@
     private static final String UPSERT = "Upsert";
     private static final String REMOVE = "Remove";
 
-    private ConfigPatch() {
-    }
+    private ConfigPatch() {}
 
     /** The configuration after the change, checked. */
     public static ConfigResult apply(JsonObject current, JsonObject patch) {
@@ -42,7 +41,8 @@
             }
             return ConfigReader.check(next.build());
         } catch (ClassCastException | NullPointerException e) {
-            return new ConfigResult.Invalid("not readable as a change: " + ConfigReader.firstLine(e));
+            return new ConfigResult.Invalid(
+                    "not readable as a change: " + ConfigReader.firstLine(e));
         }
     }
 
@@ -50,16 +50,16 @@
         return patch.containsKey(key) ? patch.getJsonObject(key) : JsonValue.EMPTY_JSON_OBJECT;
     }
 
-    private static JsonArrayBuilder merged(JsonObject current, String list, JsonValue added,
-            JsonObject remove) {
+    private static JsonArrayBuilder merged(
+            JsonObject current, String list, JsonValue added, JsonObject remove) {
         Map<String, JsonValue> items = new LinkedHashMap<>();
         if (current.containsKey(list)) {
             current.getJsonArray(list).forEach(item -> items.put(name(item), item));
         }
         added.asJsonArray().forEach(item -> items.put(name(item), item));
         if (remove.containsKey(list)) {
-            remove.getJsonArray(list).forEach(name -> items.remove(
-                ((jakarta.json.JsonString) name).getString()));
+            remove.getJsonArray(list)
+                    .forEach(name -> items.remove(((jakarta.json.JsonString) name).getString()));
         }
         JsonArrayBuilder array = ConfigReader.JSON.createArrayBuilder();
         items.values().forEach(array::add);
--- a/system/src/main/java/poppynotch/config/ConfigReader.java
+++ b/system/src/main/java/poppynotch/config/ConfigReader.java
@@ -18,7 +18,9 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Reads operators' configurations and says what is wrong with one. Unknown members are left alone. */
+/**
+ * Reads operators' configurations and says what is wrong with one. Unknown members are left alone.
+ */
 public final class ConfigReader {
 
     /** One provider for all: looking it up for each call reads the class path anew. */
@@ -34,14 +36,16 @@
         }
     }
 
-    private ConfigReader() {
-    }
+    private ConfigReader() {}
 
     /** Reads and checks a whole configuration. */
     public static ConfigResult read(byte[] json) {
         try {
             return check(parse(json));
-        } catch (JsonException | IllegalStateException | ClassCastException | ArithmeticException e) {
+        } catch (JsonException
+                | IllegalStateException
+                | ClassCastException
+                | ArithmeticException e) {
             return new ConfigResult.Invalid("not readable as a configuration: " + firstLine(e));
         }
     }
@@ -77,18 +81,22 @@
         long generation = number(document, "Generation").longValueExact();
         require(generation > 0, "Generation must be above 0");
         Map<String, Backend> backends = new LinkedHashMap<>();
-        objects(document, "Backends").forEach(item -> {
-            Backend backend = backend(item);
-            backends.put(backend.name(), backend);
-        });
+        objects(document, "Backends")
+                .forEach(
+                        item -> {
+                            Backend backend = backend(item);
+                            backends.put(backend.name(), backend);
+                        });
         List<Route> routes = new ArrayList<>();
         objects(document, "Routes").forEach(item -> routes.add(route(item)));
         checkRoutes(routes, backends);
         Map<String, Tenant> tenants = new LinkedHashMap<>();
-        objects(document, "Tenants").forEach(item -> {
-            Tenant tenant = tenant(item);
-            tenants.put(tenant.name(), tenant);
-        });
+        objects(document, "Tenants")
+                .forEach(
+                        item -> {
+                            Tenant tenant = tenant(item);
+                            tenants.put(tenant.name(), tenant);
+                        });
         checkKeys(tenants);
         return new FleetConfig(generation, routes, backends, tenants, limits(document));
     }
@@ -96,13 +104,15 @@
     private static void checkRoutes(List<Route> routes, Map<String, Backend> backends) {
         Set<String> places = new HashSet<>();
         for (Route route : routes) {
-            require(places.add(route.authority() + route.pathPrefix()),
-                "route " + route.name() + " has the host and prefix of another");
+            require(
+                    places.add(route.authority() + route.pathPrefix()),
+                    "route " + route.name() + " has the host and prefix of another");
             require(route.timeoutMs() > 0, "route " + route.name() + " has no TimeoutMs");
             double weights = 0;
             for (Route.WeightedBackend to : route.backends()) {
-                require(backends.containsKey(to.backend()),
-                    "route " + route.name() + " names an unknown backend: " + to.backend());
+                require(
+                        backends.containsKey(to.backend()),
+                        "route " + route.name() + " names an unknown backend: " + to.backend());
                 require(to.weight() >= 0, "route " + route.name() + " has a negative weight");
                 weights += to.weight();
             }
@@ -115,8 +125,9 @@
         for (Tenant tenant : tenants.values()) {
             for (String key : tenant.apiKeys()) {
                 String other = holders.put(key, tenant.name());
-                require(other == null || other.equals(tenant.name()),
-                    "tenants " + other + " and " + tenant.name() + " share a key");
+                require(
+                        other == null || other.equals(tenant.name()),
+                        "tenants " + other + " and " + tenant.name() + " share a key");
             }
         }
     }
@@ -126,18 +137,26 @@
         List<Route.WeightedBackend> backends = new ArrayList<>();
         if (item.containsKey("WeightedBackends")) {
             for (JsonObject part : objects(item, "WeightedBackends")) {
-                backends.add(new Route.WeightedBackend(string(part, "Backend"),
-                    number(part, "Weight").doubleValue()));
+                backends.add(
+                        new Route.WeightedBackend(
+                                string(part, "Backend"), number(part, "Weight").doubleValue()));
             }
         } else {
             backends.add(new Route.WeightedBackend(string(item, "Backend"), 1));
         }
-        return new Route(name, string(item, "Authority").toLowerCase(Locale.ROOT), string(item, "PathPrefix"),
-            routeType(name, item.getString("RouteType", "unsafe")),
-            longOr(item, "TimeoutMs", DEFAULT_TIMEOUT_MS), longOr(item, "TargetLatencyMs", 0),
-            (int) longOr(item, "Priority", 1), List.copyOf(backends),
-            (int) Math.max(1, longOr(item, "MaxAttempts", 1)), item.getBoolean("Anonymous", false),
-            item.getBoolean("StreamResume", false), longOr(item, "gap_aim_ms", 0));
+        return new Route(
+                name,
+                string(item, "Authority").toLowerCase(Locale.ROOT),
+                string(item, "PathPrefix"),
+                routeType(name, item.getString("RouteType", "unsafe")),
+                longOr(item, "TimeoutMs", DEFAULT_TIMEOUT_MS),
+                longOr(item, "TargetLatencyMs", 0),
+                (int) longOr(item, "Priority", 1),
+                List.copyOf(backends),
+                (int) Math.max(1, longOr(item, "MaxAttempts", 1)),
+                item.getBoolean("Anonymous", false),
+                item.getBoolean("StreamResume", false),
+                longOr(item, "gap_aim_ms", 0));
     }
 
     private static RouteType routeType(String route, String type) {
@@ -145,22 +164,37 @@
             case "safe" -> RouteType.SAFE;
             case "unsafe" -> RouteType.UNSAFE;
             case "streaming" -> RouteType.STREAMING;
-            default -> throw new InvalidConfig("route " + route + " has an unknown RouteType: " + type);
+            default ->
+                    throw new InvalidConfig(
+                            "route " + route + " has an unknown RouteType: " + type);
         };
     }
 
     private static Backend backend(JsonObject item) {
-        JsonObject engine = item.containsKey("Engine") ? item.getJsonObject("Engine") : JsonValue.EMPTY_JSON_OBJECT;
-        return new Backend(string(item, "Name"), (int) longOr(item, "MaxConnections", 0),
-            (int) longOr(engine, "Slots", 0), longOr(engine, "KvTokens", 0));
+        JsonObject engine =
+                item.containsKey("Engine")
+                        ? item.getJsonObject("Engine")
+                        : JsonValue.EMPTY_JSON_OBJECT;
+        return new Backend(
+                string(item, "Name"),
+                (int) longOr(item, "MaxConnections", 0),
+                (int) longOr(engine, "Slots", 0),
+                longOr(engine, "KvTokens", 0));
     }
 
     private static Tenant tenant(JsonObject item) {
-        List<String> keys = item.containsKey("ApiKeys")
-            ? item.getJsonArray("ApiKeys").getValuesAs(JsonString::getString) : List.of();
-        return new Tenant(string(item, "Name"), List.copyOf(keys), (int) longOr(item, "Priority", -1),
-            item.getString("Unit", "").equals("tokens"), doubleOr(item, "PlainTokens", 1),
-            doubleOr(item, "RatePerS", 0), doubleOr(item, "Burst", 0));
+        List<String> keys =
+                item.containsKey("ApiKeys")
+                        ? item.getJsonArray("ApiKeys").getValuesAs(JsonString::getString)
+                        : List.of();
+        return new Tenant(
+                string(item, "Name"),
+                List.copyOf(keys),
+                (int) longOr(item, "Priority", -1),
+                item.getString("Unit", "").equals("tokens"),
+                doubleOr(item, "PlainTokens", 1),
+                doubleOr(item, "RatePerS", 0),
+                doubleOr(item, "Burst", 0));
     }
 
     private static ClientLimits limits(JsonObject document) {
@@ -169,14 +203,16 @@
         }
         JsonObject limits = document.getJsonObject("Limits");
         ClientLimits usual = ClientLimits.DEFAULT;
-        return new ClientLimits((int) longOr(limits, "MaxHeaderBytes", usual.maxHeaderBytes()),
-            (int) longOr(limits, "MaxBodyBytes", usual.maxBodyBytes()),
-            longOr(limits, "HeaderTimeoutMs", usual.headerTimeoutMs()),
-            longOr(limits, "IdleTimeoutMs", usual.idleTimeoutMs()));
+        return new ClientLimits(
+                (int) longOr(limits, "MaxHeaderBytes", usual.maxHeaderBytes()),
+                (int) longOr(limits, "MaxBodyBytes", usual.maxBodyBytes()),
+                longOr(limits, "HeaderTimeoutMs", usual.headerTimeoutMs()),
+                longOr(limits, "IdleTimeoutMs", usual.idleTimeoutMs()));
     }
 
     private static List<JsonObject> objects(JsonObject from, String key) {
-        JsonArray array = from.containsKey(key) ? from.getJsonArray(key) : JsonValue.EMPTY_JSON_ARRAY;
+        JsonArray array =
+                from.containsKey(key) ? from.getJsonArray(key) : JsonValue.EMPTY_JSON_ARRAY;
         List<JsonObject> objects = new ArrayList<>(array.size());
         array.forEach(value -> objects.add(value.asJsonObject()));
         return objects;
--- a/system/src/main/java/poppynotch/config/ConfigResult.java
+++ b/system/src/main/java/poppynotch/config/ConfigResult.java
@@ -6,10 +6,8 @@
 public sealed interface ConfigResult {
 
     /** It is valid. */
-    record Valid(JsonObject document, FleetConfig config) implements ConfigResult {
-    }
+    record Valid(JsonObject document, FleetConfig config) implements ConfigResult {}
 
     /** It is not; {@code reason} is one line for the operator. */
-    record Invalid(String reason) implements ConfigResult {
-    }
+    record Invalid(String reason) implements ConfigResult {}
 }
--- a/system/src/main/java/poppynotch/config/DocumentCodec.java
+++ b/system/src/main/java/poppynotch/config/DocumentCodec.java
@@ -1,19 +1,18 @@
 package poppynotch.config;
 
 import jakarta.json.JsonObject;
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
-import java.io.ByteArrayInputStream;
 
 /** Configurations as they are kept and sent: JSON, deflated, as names and numbers repeat. */
 public final class DocumentCodec {
 
-    private DocumentCodec() {
-    }
+    private DocumentCodec() {}
 
     /** Deflates a configuration's JSON. */
     public static byte[] encode(JsonObject document) {
@@ -28,7 +27,8 @@
 
     /** The JSON text that was encoded. */
     public static byte[] decode(byte[] document) {
-        try (InflaterInputStream inflater = new InflaterInputStream(new ByteArrayInputStream(document))) {
+        try (InflaterInputStream inflater =
+                new InflaterInputStream(new ByteArrayInputStream(document))) {
             return inflater.readAllBytes();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
--- a/system/src/main/java/poppynotch/config/FleetConfig.java
+++ b/system/src/main/java/poppynotch/config/FleetConfig.java
@@ -16,16 +16,24 @@
     private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
     private final ClientLimits limits;
 
-    FleetConfig(long generation, List<Route> routes, Map<String, Backend> backends,
-            Map<String, Tenant> tenants, ClientLimits limits) {
+    FleetConfig(
+            long generation,
+            List<Route> routes,
+            Map<String, Backend> backends,
+            Map<String, Tenant> tenants,
+            ClientLimits limits) {
         this.generation = generation;
         this.routes = List.copyOf(routes);
         this.backends = Map.copyOf(backends);
         this.tenants = Map.copyOf(tenants);
         this.limits = limits;
-        tenants.values().forEach(tenant -> tenant.apiKeys().forEach(key -> tenantByKey.put(key, tenant)));
-        routes.forEach(route -> routesByHost.computeIfAbsent(route.authority(), host -> new HashMap<>())
-            .put(route.pathPrefix(), route));
+        tenants.values()
+                .forEach(tenant -> tenant.apiKeys().forEach(key -> tenantByKey.put(key, tenant)));
+        routes.forEach(
+                route ->
+                        routesByHost
+                                .computeIfAbsent(route.authority(), host -> new HashMap<>())
+                                .put(route.pathPrefix(), route));
     }
 
     public long generation() {
@@ -53,7 +61,9 @@
         return Optional.ofNullable(tenantByKey.get(key));
     }
 
-    /** Of a host's routes the one with the longest prefix of the path. Prefixes end with a slash. */
+    /**
+     * Of a host's routes the one with the longest prefix of the path. Prefixes end with a slash.
+     */
     public Optional<Route> route(String host, String path) {
         Map<String, Route> ofHost = routesByHost.get(host);
         if (ofHost == null) {
--- a/system/src/main/java/poppynotch/config/Tenant.java
+++ b/system/src/main/java/poppynotch/config/Tenant.java
@@ -11,8 +11,14 @@
  * @param ratePerS quota a second; 0 for no limit
  * @param burst quota besides
  */
-public record Tenant(String name, List<String> apiKeys, int priority, boolean countsTokens, double plainTokens,
-        double ratePerS, double burst) {
+public record Tenant(
+        String name,
+        List<String> apiKeys,
+        int priority,
+        boolean countsTokens,
+        double plainTokens,
+        double ratePerS,
+        double burst) {
 
     public boolean isLimited() {
         return ratePerS > 0;
--- a/system/src/main/java/poppynotch/control/ConfigOrder.java
+++ b/system/src/main/java/poppynotch/control/ConfigOrder.java
@@ -13,8 +13,8 @@
 import poppynotch.register.RegisterValue;
 
 /**
- * An operator's change of the configuration, as a change of the register. It is known by its content when it
- * is sent again, to whichever core process.
+ * An operator's change of the configuration, as a change of the register. It is known by its
+ * content when it is sent again, to whichever core process.
  */
 public final class ConfigOrder implements Change {
 
@@ -30,6 +30,7 @@
     private final long buildsOn;
     private final JsonObject body;
     private final long digest;
+
     /** What the latest decision means for the operator, if the value it was made on is chosen. */
     private OrderResult result = new OrderResult.Unclear();
 
@@ -43,30 +44,40 @@
     /** What came of reading an order. */
     public sealed interface Read {
         /** It can be tried. */
-        record Good(ConfigOrder order) implements Read {
-        }
+        record Good(ConfigOrder order) implements Read {}
 
         /** It is invalid whatever the current version is. */
-        record Bad(String reason) implements Read {
-        }
+        record Bad(String reason) implements Read {}
     }
 
     /** Reads an order; {@code buildsOn} is the version it was made for. */
     public static Read read(Kind kind, long buildsOn, byte[] content) {
         try {
             JsonObject body = ConfigReader.parse(content);
-            if (kind == Kind.WHOLE && ConfigReader.check(body) instanceof ConfigResult.Invalid invalid) {
+            if (kind == Kind.WHOLE
+                    && ConfigReader.check(body) instanceof ConfigResult.Invalid invalid) {
                 return new Read.Bad(invalid.reason());
             }
             if (!body.containsKey("Generation")) {
                 return new Read.Bad("Generation is missing");
             }
             body.getJsonNumber("Generation").longValueExact();
-            long digest = Hashing.sipHash24().newHasher().putInt(kind.ordinal()).putLong(buildsOn)
-                .putBytes(content).hash().asLong();
+            long digest =
+                    Hashing.sipHash24()
+                            .newHasher()
+                            .putInt(kind.ordinal())
+                            .putLong(buildsOn)
+                            .putBytes(content)
+                            .hash()
+                            .asLong();
             return new Read.Good(new ConfigOrder(kind, buildsOn, body, digest));
-        } catch (JsonException | IllegalStateException | ClassCastException | ArithmeticException e) {
-            return new Read.Bad("not readable: " + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+        } catch (JsonException
+                | IllegalStateException
+                | ClassCastException
+                | ArithmeticException e) {
+            return new Read.Bad(
+                    "not readable: "
+                            + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
     }
 
@@ -80,8 +91,10 @@
             result = new OrderResult.Conflict(current.generation());
             return new Decision.Keep();
         }
-        ConfigResult next = kind == Kind.WHOLE ? ConfigReader.check(body)
-            : ConfigPatch.apply(currentDocument(current), body);
+        ConfigResult next =
+                kind == Kind.WHOLE
+                        ? ConfigReader.check(body)
+                        : ConfigPatch.apply(currentDocument(current), body);
         if (next instanceof ConfigResult.Invalid invalid) {
             result = new OrderResult.Invalid(invalid.reason());
             return new Decision.Keep();
@@ -89,18 +102,21 @@
         ConfigResult.Valid valid = (ConfigResult.Valid) next;
         long generation = valid.config().generation();
         if (generation <= current.generation()) {
-            result = new OrderResult.Invalid("Generation " + generation + " is not above "
-                + current.generation());
+            result =
+                    new OrderResult.Invalid(
+                            "Generation " + generation + " is not above " + current.generation());
             return new Decision.Keep();
         }
         result = new OrderResult.Taken(generation);
         return new Decision.Replace(
-            current.withDocument(generation, DocumentCodec.encode(valid.document()), digest));
+                current.withDocument(generation, DocumentCodec.encode(valid.document()), digest));
     }
 
     private static JsonObject currentDocument(RegisterValue current) {
-        byte[] json = current.document().length == 0 ? "{}".getBytes(StandardCharsets.UTF_8)
-            : DocumentCodec.decode(current.document());
+        byte[] json =
+                current.document().length == 0
+                        ? "{}".getBytes(StandardCharsets.UTF_8)
+                        : DocumentCodec.decode(current.document());
         return ConfigReader.parse(json);
     }
 
--- a/system/src/main/java/poppynotch/control/ControlApi.java
+++ b/system/src/main/java/poppynotch/control/ControlApi.java
@@ -92,7 +92,8 @@
         }
     }
 
-    private void change(ConfigOrder.Kind kind, FullHttpRequest request, byte[] body, Consumer<Answer> end) {
+    private void change(
+            ConfigOrder.Kind kind, FullHttpRequest request, byte[] body, Consumer<Answer> end) {
         long buildsOn;
         try {
             String match = request.headers().get(HttpHeaderNames.IF_MATCH, "0");
@@ -107,10 +108,12 @@
             end.accept(problem(HttpResponseStatus.BAD_REQUEST, bad.reason()));
             return;
         }
-        service.change(((ConfigOrder.Read.Good) read).order(), result -> {
-            LOG.info("a change on {} ends: {}", buildsOn, result);
-            end.accept(answer(result));
-        });
+        service.change(
+                ((ConfigOrder.Read.Good) read).order(),
+                result -> {
+                    LOG.info("a change on {} ends: {}", buildsOn, result);
+                    end.accept(answer(result));
+                });
     }
 
     private static Answer answer(OrderResult result) {
@@ -118,8 +121,9 @@
             return Answer.of(HttpResponseStatus.OK, EMPTY);
         }
         if (result instanceof OrderResult.Conflict conflict) {
-            return problem(HttpResponseStatus.PRECONDITION_FAILED, "version " + conflict.current()
-                + " is current");
+            return problem(
+                    HttpResponseStatus.PRECONDITION_FAILED,
+                    "version " + conflict.current() + " is current");
         }
         if (result instanceof OrderResult.Invalid invalid) {
             return problem(HttpResponseStatus.BAD_REQUEST, invalid.reason());
@@ -128,9 +132,14 @@
     }
 
     private void instance(HttpMethod method, String id, byte[] body, Consumer<Answer> end) {
-        Consumer<Boolean> acknowledged = done -> end.accept(done
-            ? Answer.of(HttpResponseStatus.OK, EMPTY)
-            : problem(HttpResponseStatus.SERVICE_UNAVAILABLE, "out of contact with the other core processes"));
+        Consumer<Boolean> acknowledged =
+                done ->
+                        end.accept(
+                                done
+                                        ? Answer.of(HttpResponseStatus.OK, EMPTY)
+                                        : problem(
+                                                HttpResponseStatus.SERVICE_UNAVAILABLE,
+                                                "out of contact with the other core processes"));
         if (method.equals(HttpMethod.DELETE)) {
             service.leave(id, acknowledged);
             return;
@@ -142,7 +151,10 @@
         ServerRecord server;
         try {
             server = server(id, ConfigReader.parse(body));
-        } catch (JsonException | IllegalStateException | ClassCastException | NullPointerException e) {
+        } catch (JsonException
+                | IllegalStateException
+                | ClassCastException
+                | NullPointerException e) {
             end.accept(problem(HttpResponseStatus.BAD_REQUEST, "not a registration"));
             return;
         }
@@ -151,10 +163,14 @@
 
     private static ServerRecord server(String id, JsonObject body) {
         boolean draining = body.getString("State", "ready").equals("draining");
-        return new ServerRecord(id, body.getString("Backend"), body.getString("Address"),
-            body.getString("Zone", ""), body.getInt("Slots", 1),
-            draining ? ServerState.DRAINING : ServerState.READY,
-            body.containsKey("Sequence") ? body.getJsonNumber("Sequence").longValue() : 0);
+        return new ServerRecord(
+                id,
+                body.getString("Backend"),
+                body.getString("Address"),
+                body.getString("Zone", ""),
+                body.getInt("Slots", 1),
+                draining ? ServerState.DRAINING : ServerState.READY,
+                body.containsKey("Sequence") ? body.getJsonNumber("Sequence").longValue() : 0);
     }
 
     private static Answer problem(HttpResponseStatus status, String reason) {
@@ -162,8 +178,11 @@
     }
 
     private static void send(ChannelHandlerContext ctx, Answer answer, boolean keepAlive) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, answer.status(),
-            Unpooled.wrappedBuffer(answer.json()));
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        answer.status(),
+                        Unpooled.wrappedBuffer(answer.json()));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         HttpUtil.setContentLength(response, answer.json().length);
         HttpUtil.setKeepAlive(response, keepAlive);
--- a/system/src/main/java/poppynotch/control/CoreNode.java
+++ b/system/src/main/java/poppynotch/control/CoreNode.java
@@ -45,8 +45,8 @@
 import poppynotch.wire.ServerState;
 
 /**
- * A core process: it holds a replica of the register, the registry of servers and the edges' leases, and
- * serves operators, servers and edges. All of its tables belong to one event loop.
+ * A core process: it holds a replica of the register, the registry of servers and the edges'
+ * leases, and serves operators, servers and edges. All of its tables belong to one event loop.
  */
 public final class CoreNode implements ControlApi.Service, RegisterReplica.Host, PollHub.Source {
 
@@ -55,16 +55,22 @@
     private static final int MOST_BODY = 8 * 1024 * 1024;
     private static final int TICK_MS = 20;
     private static final long BEAT_MS = 200;
+
     /** Without a quorum for so long, this process vouches for nothing. */
     private static final long FENCED_MS = 1000;
+
     /** What this process says of the registry counts as stale after a time without a quorum. */
     private static final long REGISTRY_STALE_MS = 2000;
+
     private static final long ORDER_LIMIT_MS = 2500;
     private static final long HOLD_LIMIT_MS = 900;
     private static final long CONTACT_MS = 2000;
     private static final long MAINTENANCE_MS = 1000;
+
     /** Heartbeats in a row with another registry's digest, after which it is fetched. */
     private static final int DIGEST_MISMATCHES = 2;
+
+    private static final long DISK_RETRY_MS = 200;
     private static final int MOST_DRAINS = 4096;
 
     /** A change of the registry that is acknowledged once a majority of the core holds it. */
@@ -87,6 +93,13 @@
 
     private final NodeSettings settings;
     private final EventLoop loop;
+
+    /**
+     * Control addresses of core processes by the settings; those of the acceptors are known
+     * besides.
+     */
+    private List<String> seeds;
+
     private final String self;
     private final long incarnation = ThreadLocalRandom.current().nextLong() | 1;
     private final QuorumContact contact;
@@ -97,8 +110,10 @@
     private final AcceptorMaintenance maintenance;
     private final Map<Long, Holding> holdings = new HashMap<>();
     private final Map<String, Integer> mismatches = new HashMap<>();
+
     /** Servers whose drain a majority of the core holds. */
     private final Set<String> heldDrains = new LinkedHashSet<>();
+
     private RegisterReplica register;
     private long nextRequest = 1;
     private long nextBeatMs;
@@ -112,8 +127,11 @@
     private CoreNode(NodeSettings settings, EventLoop loop) {
         this.settings = settings;
         this.loop = loop;
-        self = settings.control().orElseThrow(
-            () -> new IllegalArgumentException("Bind.Control is missing")).toString();
+        seeds = addresses(settings);
+        self =
+                settings.control()
+                        .orElseThrow(() -> new IllegalArgumentException("Bind.Control is missing"))
+                        .toString();
         contact = new QuorumContact(self);
         peers = new CorePeers(loop, self, incarnation, settings.peerPort(), CoreNode::now, contact);
         registry = new ServerRegistry(now(), settings.heartbeatMs());
@@ -121,6 +139,19 @@
         maintenance = new AcceptorMaintenance(settings.toleratedMachines());
     }
 
+    private static List<String> addresses(NodeSettings settings) {
+        return settings.seeds().stream().map(HostPort::toString).toList();
+    }
+
+    /** The settings file has changed: the seeds may be others. */
+    public void reload(NodeSettings changed) {
+        loop.execute(
+                () -> {
+                    seeds = addresses(changed);
+                    seeds.forEach(seed -> peers.know(seed, now()));
+                });
+    }
+
     private static long now() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
@@ -133,55 +164,99 @@
         try {
             loop.submit(node::begin).sync();
             node.listen(group, settings.control().orElseThrow().socketAddress(), node::initControl);
-            node.listen(group, new HostPort(settings.ip(), settings.peerPort()).socketAddress(),
-                channel -> RecordChannel.install(channel.pipeline(), node.receiver()));
+            node.listen(
+                    group,
+                    new HostPort(settings.ip(), settings.peerPort()).socketAddress(),
+                    channel -> RecordChannel.install(channel.pipeline(), node.receiver()));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while starting", e);
         }
-        LOG.info("core process {} serves, incarnation {}", node.self, Long.toHexString(node.incarnation));
+        LOG.info(
+                "core process {} serves, incarnation {}",
+                node.self,
+                Long.toHexString(node.incarnation));
         return node;
     }
 
     private void openRegister() throws IOException {
-        Path folder = settings.dataDir().orElseThrow(
-            () -> new IllegalArgumentException("DataDir is missing: a core process needs a disk"));
+        Path folder =
+                settings.dataDir()
+                        .orElseThrow(
+                                () ->
+                                        new IllegalArgumentException(
+                                                "DataDir is missing: a core process needs a disk"));
         Files.createDirectories(folder);
         StateFiles files = new StateFiles(folder);
         Optional<AcceptorState> kept = files.read();
-        List<String> seeds = settings.seeds().stream().map(HostPort::toString).toList();
         if (kept.isEmpty() && settings.bootstrap()) {
             AcceptorState initial = AcceptorState.initial(AcceptorSet.of(seeds));
-            files.write(initial);
+            keepFirst(files, initial);
             kept = Optional.of(initial);
         }
-        LOG.info("the register goes on from {}", kept.map(AcceptorState::toString).orElse("nothing"));
-        register = new RegisterReplica(self, incarnation, kept, AcceptorSet.of(List.of()),
-            new DiskStorage(files, loop), this);
+        LOG.info(
+                "the register goes on from {}",
+                kept.map(AcceptorState::toString).orElse("nothing"));
+        register =
+                new RegisterReplica(
+                        self,
+                        incarnation,
+                        kept,
+                        AcceptorSet.of(List.of()),
+                        new DiskStorage(files, loop),
+                        this);
+    }
+
+    /**
+     * A disk that is full or in trouble may get better; without the state nothing may be promised.
+     */
+    private static void keepFirst(StateFiles files, AcceptorState initial) throws IOException {
+        while (true) {
+            try {
+                files.write(initial);
+                return;
+            } catch (IOException e) {
+                LOG.warn("the first state can't be written: {}", e.getMessage());
+                try {
+                    TimeUnit.MILLISECONDS.sleep(DISK_RETRY_MS);
+                } catch (InterruptedException interrupted) {
+                    Thread.currentThread().interrupt();
+                    throw new IOException("interrupted while starting", interrupted);
+                }
+            }
+        }
     }
 
     private void begin() {
-        long now = now();
-        settings.seeds().forEach(seed -> peers.know(seed.toString(), now));
+        seeds.forEach(seed -> peers.know(seed, now()));
         loop.scheduleWithFixedDelay(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
     private void listen(EventLoopGroup group, InetSocketAddress at, Consumer<Channel> init)
             throws InterruptedException {
-        new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 256)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    init.accept(channel);
-                }
-            }).bind(at).sync();
+        new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 256)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                init.accept(channel);
+                            }
+                        })
+                .bind(at)
+                .sync();
     }
 
     private void initControl(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
-            new ControlApi(this));
+        channel.pipeline()
+                .addLast(
+                        new HttpServerCodec(),
+                        new HttpObjectAggregator(MOST_BODY),
+                        new ControlApi(this));
     }
 
     // ---- time ----
@@ -203,6 +278,8 @@
             }
             if (now >= nextMaintenanceMs) {
                 nextMaintenanceMs = now + MAINTENANCE_MS;
+                seeds.forEach(seed -> peers.know(seed, now));
+                register.acceptors().everyone().forEach(acceptor -> peers.know(acceptor, now));
                 maintainAcceptors(now);
             }
         } catch (RuntimeException e) {
@@ -210,9 +287,14 @@
         }
     }
 
+    /** Out of contact with a quorum: this process vouches for nothing. */
+    private boolean isFenced() {
+        return quorumAgeMs() > FENCED_MS;
+    }
+
     private void watchQuorum(long now) {
         boolean before = fenced;
-        fenced = quorumAgeMs() > FENCED_MS;
+        fenced = isFenced();
         if (fenced && !before) {
             fencedSinceMs = now;
             LOG.info("out of contact with a quorum");
@@ -227,13 +309,15 @@
     }
 
     private void expireHoldings(long now) {
-        holdings.entrySet().removeIf(entry -> {
-            boolean late = now >= entry.getValue().untilMs;
-            if (late) {
-                entry.getValue().end.accept(false);
-            }
-            return late;
-        });
+        holdings.entrySet()
+                .removeIf(
+                        entry -> {
+                            boolean late = now >= entry.getValue().untilMs;
+                            if (late) {
+                                entry.getValue().end.accept(false);
+                            }
+                            return late;
+                        });
     }
 
     private void beat(long now) {
@@ -241,28 +325,45 @@
         lastBeatMs = now;
         nextBeatMs = now + BEAT_MS;
         Optional<RegisterReplica.Chosen> chosen = register.chosen();
-        peers.sendToAll(new Message.CoreBeat(peers.nextBeat(now),
-            chosen.map(known -> known.value().revision()).orElse(-1L),
-            chosen.map(RegisterReplica.Chosen::ballot).orElse(Ballot.ZERO), register.accepted(),
-            register.highest(), register.acceptors(), registry.isComplete(now), registry.digest(),
-            peers.inContact(now, CONTACT_MS), registry.drainHeard(), leases));
-    }
-
-    /** The core process with the lowest address among those in contact looks after the set of acceptors. */
+        peers.sendToAll(
+                new Message.CoreBeat(
+                        peers.nextBeat(now),
+                        chosen.map(known -> known.value().revision()).orElse(-1L),
+                        chosen.map(RegisterReplica.Chosen::ballot).orElse(Ballot.ZERO),
+                        register.accepted(),
+                        register.highest(),
+                        register.acceptors(),
+                        registry.isComplete(now),
+                        registry.digest(),
+                        peers.inContact(now, CONTACT_MS),
+                        registry.drainHeard(),
+                        leases));
+    }
+
+    /**
+     * The core process with the lowest address among those in contact looks after the set of
+     * acceptors.
+     */
     private void maintainAcceptors(long now) {
         boolean first = peers.inContact(now, AcceptorMaintenance.FIT_MS).get(0).equals(self);
         if (!first || fenced || maintaining || register.chosen().isEmpty()) {
             return;
         }
-        Optional<Change> due = maintenance.due(register.acceptors(), peers.known(),
-            core -> contact.ageMs(now, core));
-        due.ifPresent(change -> {
-            maintaining = true;
-            register.submit(now, change, now + ORDER_LIMIT_MS, outcome -> {
-                maintaining = false;
-                LOG.info("the set of acceptors: {}", register.acceptors());
-            });
-        });
+        Optional<Change> due =
+                maintenance.due(
+                        register.acceptors(), peers.known(), core -> contact.ageMs(now, core));
+        due.ifPresent(
+                change -> {
+                    maintaining = true;
+                    register.submit(
+                            now,
+                            change,
+                            now + ORDER_LIMIT_MS,
+                            outcome -> {
+                                maintaining = false;
+                                LOG.info("the set of acceptors: {}", register.acceptors());
+                            });
+                });
     }
 
     // ---- messages ----
@@ -308,8 +409,12 @@
         } else if (message instanceof Message.Learn learn) {
             register.learn(new RegisterReplica.Chosen(learn.ballot(), learn.value()), false);
         } else if (message instanceof Message.FetchValue) {
-            register.chosen().ifPresent(chosen -> peers.send(sender,
-                new Message.Learn(chosen.ballot(), chosen.value())));
+            register.chosen()
+                    .ifPresent(
+                            chosen ->
+                                    peers.send(
+                                            sender,
+                                            new Message.Learn(chosen.ballot(), chosen.value())));
         } else if (message instanceof Message.ServersChanged changed) {
             takeIn(now, changed.servers());
             if (changed.request() != 0) {
@@ -318,8 +423,10 @@
         } else if (message instanceof Message.ServersHeld held) {
             held(sender, held.request());
         } else if (message instanceof Message.FetchRegistry) {
-            peers.send(sender, new Message.RegistrySnapshot(!fenced && registry.isComplete(now),
-                registry.all()));
+            peers.send(
+                    sender,
+                    new Message.RegistrySnapshot(
+                            !isFenced() && registry.isComplete(now), registry.all()));
         } else if (message instanceof Message.RegistrySnapshot snapshot) {
             takeIn(now, snapshot.servers());
             if (snapshot.complete()) {
@@ -334,7 +441,8 @@
         register.peerHolds(now, beat.accepted(), beat.promised(), beat.acceptors());
         long known = register.chosen().map(chosen -> chosen.value().revision()).orElse(-1L);
         Ballot ballot = register.chosen().map(RegisterReplica.Chosen::ballot).orElse(Ballot.ZERO);
-        if (beat.revision() > known || beat.revision() == known && beat.chosen().compareTo(ballot) > 0) {
+        if (beat.revision() > known
+                || beat.revision() == known && beat.chosen().compareTo(ballot) > 0) {
             peers.send(sender, new Message.FetchValue());
         }
         beat.heard().forEach(heard -> registry.heard(now, heard.id(), heard.sequence()));
@@ -365,10 +473,11 @@
     private void news() {
         if (!newsPending) {
             newsPending = true;
-            loop.execute(() -> {
-                newsPending = false;
-                polls.news();
-            });
+            loop.execute(
+                    () -> {
+                        newsPending = false;
+                        polls.news();
+                    });
         }
     }
 
@@ -377,26 +486,33 @@
     @Override
     public void register(ServerRecord server, Consumer<Boolean> acknowledged) {
         long now = now();
-        if (fenced) {
+        if (isFenced()) {
             acknowledged.accept(false);
             return;
         }
         boolean drains = server.state() == ServerState.DRAINING;
         if (registry.apply(now, server)) {
-            LOG.info("server {} of {} at {} is {}", server.id(), server.backend(), server.address(),
-                server.state());
+            LOG.info(
+                    "server {} of {} at {} is {}",
+                    server.id(),
+                    server.backend(),
+                    server.address(),
+                    server.state());
             news();
             if (!drains) {
-                spread(now, List.of(server), done -> { });
+                spread(now, List.of(server), done -> {});
             }
         }
         if (drains && !heldDrains.contains(server.id())) {
-            spread(now, List.of(server), held -> {
-                if (held) {
-                    rememberDrain(server.id());
-                }
-                acknowledged.accept(held);
-            });
+            spread(
+                    now,
+                    List.of(server),
+                    held -> {
+                        if (held) {
+                            rememberDrain(server.id());
+                        }
+                        acknowledged.accept(held);
+                    });
         } else {
             acknowledged.accept(true);
         }
@@ -412,7 +528,7 @@
     @Override
     public void leave(String id, Consumer<Boolean> acknowledged) {
         long now = now();
-        if (fenced) {
+        if (isFenced()) {
             acknowledged.accept(false);
             return;
         }
@@ -454,29 +570,38 @@
     @Override
     public void change(ConfigOrder order, Consumer<OrderResult> end) {
         long now = now();
-        if (fenced) {
+        if (isFenced()) {
             end.accept(new OrderResult.Unclear());
             return;
         }
-        register.submit(now, order, now + ORDER_LIMIT_MS, outcome -> end.accept(order.resultOf(outcome)));
+        register.submit(
+                now, order, now + ORDER_LIMIT_MS, outcome -> end.accept(order.resultOf(outcome)));
     }
 
     @Override
     public void readConfig(Consumer<ControlApi.Answer> end) {
         long now = now();
-        register.submit(now, Change.READ, now + ORDER_LIMIT_MS, outcome -> {
-            if (outcome instanceof Outcome.Chosen read && read.value().generation() > 0) {
-                end.accept(new ControlApi.Answer(HttpResponseStatus.OK,
-                    DocumentCodec.decode(read.value().document())));
-            } else {
-                end.accept(ControlApi.Answer.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "{}"));
-            }
-        });
+        register.submit(
+                now,
+                Change.READ,
+                now + ORDER_LIMIT_MS,
+                outcome -> {
+                    if (outcome instanceof Outcome.Chosen read && read.value().generation() > 0) {
+                        end.accept(
+                                new ControlApi.Answer(
+                                        HttpResponseStatus.OK,
+                                        DocumentCodec.decode(read.value().document())));
+                    } else {
+                        end.accept(
+                                ControlApi.Answer.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "{}"));
+                    }
+                });
     }
 
     @Override
     public String status() {
-        return new StatusPage(now(), self, register, registry, edges, peers, contact, fenced).json();
+        return new StatusPage(now(), self, register, registry, edges, peers, contact, fenced)
+                .json();
     }
 
     // ---- the register's host ----
@@ -504,14 +629,19 @@
 
     @Override
     public Optional<RegisterValue> value() {
-        return fenced ? Optional.empty() : register.chosen().map(RegisterReplica.Chosen::value)
-            .filter(value -> value.generation() > 0);
+        return isFenced()
+                ? Optional.empty()
+                : register.chosen()
+                        .map(RegisterReplica.Chosen::value)
+                        .filter(value -> value.generation() > 0);
     }
 
     @Override
     public long quorumAgeMs() {
         AcceptorSet acceptors = register.acceptors();
-        return acceptors.members().isEmpty() ? Integer.MAX_VALUE : contact.quorumAgeMs(now(), acceptors);
+        return acceptors.members().isEmpty()
+                ? Integer.MAX_VALUE
+                : contact.quorumAgeMs(now(), acceptors);
     }
 
     @Override
--- a/system/src/main/java/poppynotch/control/CorePeers.java
+++ b/system/src/main/java/poppynotch/control/CorePeers.java
@@ -19,17 +19,21 @@
 import poppynotch.wire.RecordChannel;
 
 /**
- * The connections of this core process to the others: one to each, on which it sends. Heartbeats whose echo
- * does not come close a connection, so that what a cut holds up does not outlast it. Owned by the event loop.
+ * The connections of this core process to the others: one to each, on which it sends. Heartbeats
+ * whose echo does not come close a connection, so that what a cut holds up does not outlast it.
+ * Owned by the event loop.
  */
 final class CorePeers {
 
     private static final int CONNECT_MS = 500;
     private static final long RECONNECT_MS = 250;
+
     /** A connection without an echo for so long is given up. */
     private static final long SILENCE_MS = 900;
+
     /** A core process that was named by no one for so long is forgotten. */
     private static final long FORGET_MS = 30_000;
+
     /** Heartbeats whose echo is still waited for. */
     private static final int MOST_UNECHOED = 64;
 
@@ -48,16 +52,18 @@
         void connect(long nowMs) {
             connecting = true;
             nextTryMs = nowMs + RECONNECT_MS;
-            ChannelFuture future = bootstrap.clone().connect(peer.withPort(peerPort).socketAddress());
-            future.addListener(done -> {
-                connecting = false;
-                if (done.isSuccess()) {
-                    channel = future.channel();
-                    aliveMs = clock.getAsLong();
-                    RecordChannel.send(channel, new Message.Hello(self, incarnation));
-                    channel.closeFuture().addListener(closed -> channel = null);
-                }
-            });
+            ChannelFuture future =
+                    bootstrap.clone().connect(peer.withPort(peerPort).socketAddress());
+            future.addListener(
+                    done -> {
+                        connecting = false;
+                        if (done.isSuccess()) {
+                            channel = future.channel();
+                            aliveMs = clock.getAsLong();
+                            RecordChannel.send(channel, new Message.Hello(self, incarnation));
+                            channel.closeFuture().addListener(closed -> channel = null);
+                        }
+                    });
         }
 
         void send(Message message) {
@@ -77,22 +83,32 @@
     private final Map<Long, Long> sentMs = new LinkedHashMap<>();
     private long sequence;
 
-    CorePeers(EventLoop loop, String self, long incarnation, int peerPort, LongSupplier clock,
+    CorePeers(
+            EventLoop loop,
+            String self,
+            long incarnation,
+            int peerPort,
+            LongSupplier clock,
             QuorumContact contact) {
         this.self = self;
         this.incarnation = incarnation;
         this.peerPort = peerPort;
         this.clock = clock;
         this.contact = contact;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    RecordChannel.install(channel.pipeline(), (from, message) -> { });
-                }
-            });
+        bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                        .handler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        RecordChannel.install(
+                                                channel.pipeline(), (from, message) -> {});
+                                    }
+                                });
     }
 
     /** A core process exists, by the settings or by what others say. */
@@ -109,7 +125,9 @@
         return new ArrayList<>(all);
     }
 
-    /** Control addresses of core processes that were in contact within a time, this one included. */
+    /**
+     * Control addresses of core processes that were in contact within a time, this one included.
+     */
     List<String> inContact(long nowMs, long withinMs) {
         return known().stream().filter(peer -> contact.ageMs(nowMs, peer) <= withinMs).toList();
     }
--- a/system/src/main/java/poppynotch/control/DiskStorage.java
+++ b/system/src/main/java/poppynotch/control/DiskStorage.java
@@ -12,15 +12,14 @@
 import poppynotch.register.StateFiles;
 
 /**
- * Writes an acceptor's states from a thread of its own, so that a disk that is slow or hangs blocks nothing
- * else. States that wait are written as one: each holds all of the former.
+ * Writes an acceptor's states from a thread of its own, so that a disk that is slow or hangs blocks
+ * nothing else. States that wait are written as one: each holds all of the former.
  */
 public final class DiskStorage implements Storage {
 
     private static final Logger LOG = LoggerFactory.getLogger(DiskStorage.class);
 
-    private record Write(AcceptorState state, Runnable kept) {
-    }
+    private record Write(AcceptorState state, Runnable kept) {}
 
     private final StateFiles files;
     private final Executor owner;
--- a/system/src/main/java/poppynotch/control/EdgeDirectory.java
+++ b/system/src/main/java/poppynotch/control/EdgeDirectory.java
@@ -9,24 +9,27 @@
 import poppynotch.wire.Usage;
 
 /**
- * The edges, each present while it renews its lease, and the sums of what tenants use at all of them. It
- * does no I/O and is told the time.
+ * The edges, each present while it renews its lease, and the sums of what tenants use at all of
+ * them. It does no I/O and is told the time.
  */
 public final class EdgeDirectory {
 
     /** How long an edge counts after it last renewed its lease. */
     private static final long LEASE_MS = 3000;
+
     private static final long FORGET_MS = 60_000;
 
     /** A view of an edge's place among all. */
-    public record Place(int edges, int number) {
-    }
+    public record Place(int edges, int number) {}
 
     private static final class Edge {
         long incarnation;
+        String address = "";
         long renewedMs;
+
         /** Renewed at this core process itself, not only at others. */
         long directMs = Long.MIN_VALUE / 2;
+
         final Map<String, Long> used = new HashMap<>();
         final Map<String, Long> unrelayed = new HashMap<>();
     }
@@ -41,8 +44,10 @@
     private long version;
 
     /** An edge renews its lease here. */
-    public void renew(long nowMs, String name, long incarnation, List<Usage> usage) {
+    public void renew(
+            long nowMs, String name, long incarnation, String address, List<Usage> usage) {
         Edge edge = edge(name, incarnation);
+        edge.address = address;
         edge.renewedMs = nowMs;
         edge.directMs = nowMs;
         for (Usage item : usage) {
@@ -56,11 +61,14 @@
     public void relayed(long nowMs, EdgeLease lease) {
         Edge known = edges.get(lease.name());
         long renewed = nowMs - lease.ageMs();
-        if (known != null && known.incarnation != lease.incarnation() && renewed < known.renewedMs) {
+        if (known != null
+                && known.incarnation != lease.incarnation()
+                && renewed < known.renewedMs) {
             return;
         }
         Edge edge = edge(lease.name(), lease.incarnation());
         edge.renewedMs = Math.max(edge.renewedMs, renewed);
+        edge.address = lease.address();
         lease.usage().forEach(item -> count(edge, item));
     }
 
@@ -89,14 +97,22 @@
     /** Leases renewed here since {@code sinceMs}, with the usage that others have not been told. */
     public List<EdgeLease> drainDirect(long nowMs, long sinceMs) {
         List<EdgeLease> direct = new ArrayList<>();
-        edges.forEach((name, edge) -> {
-            if (edge.directMs >= sinceMs) {
-                List<Usage> usage = new ArrayList<>(edge.unrelayed.size());
-                edge.unrelayed.forEach((tenant, amount) -> usage.add(new Usage(tenant, amount)));
-                edge.unrelayed.clear();
-                direct.add(new EdgeLease(name, edge.incarnation, (int) (nowMs - edge.directMs), usage));
-            }
-        });
+        edges.forEach(
+                (name, edge) -> {
+                    if (edge.directMs >= sinceMs) {
+                        List<Usage> usage = new ArrayList<>(edge.unrelayed.size());
+                        edge.unrelayed.forEach(
+                                (tenant, amount) -> usage.add(new Usage(tenant, amount)));
+                        edge.unrelayed.clear();
+                        direct.add(
+                                new EdgeLease(
+                                        name,
+                                        edge.incarnation,
+                                        edge.address,
+                                        (int) (nowMs - edge.directMs),
+                                        usage));
+                    }
+                });
         return direct;
     }
 
@@ -117,8 +133,19 @@
 
     /** Names of the edges whose leases hold. */
     public List<String> present(long nowMs) {
-        return edges.entrySet().stream().filter(entry -> nowMs - entry.getValue().renewedMs <= LEASE_MS)
-            .map(Map.Entry::getKey).toList();
+        return edges.entrySet().stream()
+                .filter(entry -> nowMs - entry.getValue().renewedMs <= LEASE_MS)
+                .map(Map.Entry::getKey)
+                .toList();
+    }
+
+    /** Where the edges whose leases hold take datagrams. */
+    public List<String> addresses(long nowMs) {
+        return edges.values().stream()
+                .filter(edge -> nowMs - edge.renewedMs <= LEASE_MS)
+                .map(edge -> edge.address)
+                .filter(address -> !address.isEmpty())
+                .toList();
     }
 
     /** Grows with each change of a total. */
@@ -129,11 +156,12 @@
     /** Totals that have changed after a version. */
     public List<Usage> totalsSince(long since) {
         List<Usage> changed = new ArrayList<>();
-        totals.forEach((tenant, total) -> {
-            if (total.version > since) {
-                changed.add(new Usage(tenant, total.amount));
-            }
-        });
+        totals.forEach(
+                (tenant, total) -> {
+                    if (total.version > since) {
+                        changed.add(new Usage(tenant, total.amount));
+                    }
+                });
         return changed;
     }
 
--- a/system/src/main/java/poppynotch/control/PollHub.java
+++ b/system/src/main/java/poppynotch/control/PollHub.java
@@ -13,7 +13,10 @@
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.Usage;
 
-/** Edges' long polls: each is answered when there is news for it, or after a short time as a sign of life. */
+/**
+ * Edges' long polls: each is answered when there is news for it, or after a short time as a sign of
+ * life.
+ */
 final class PollHub {
 
     /** A poll without news is answered after this time. */
@@ -45,10 +48,18 @@
     private final Source source;
     private final LongSupplier clock;
     private final Map<Channel, Waiting> waiting = new HashMap<>();
+
     /** The version of the totals that each connection was told last. */
     private final Map<Channel, Long> toldUsage = new HashMap<>();
 
-    PollHub(long incarnation, ServerRegistry registry, EdgeDirectory edges, Source source,
+    /** The edges' addresses that each connection was told last. */
+    private final Map<Channel, List<String>> toldEdges = new HashMap<>();
+
+    PollHub(
+            long incarnation,
+            ServerRegistry registry,
+            EdgeDirectory edges,
+            Source source,
             LongSupplier clock) {
         this.incarnation = incarnation;
         this.registry = registry;
@@ -59,7 +70,7 @@
 
     void poll(Channel from, Message.Poll poll) {
         long now = clock.getAsLong();
-        edges.renew(now, poll.edge(), poll.incarnation(), poll.usage());
+        edges.renew(now, poll.edge(), poll.incarnation(), poll.address(), poll.usage());
         Waiting parked = new Waiting(poll, now + HOLD_MS);
         if (hasNews(poll)) {
             reply(from, parked);
@@ -71,6 +82,7 @@
     void closed(Channel channel) {
         waiting.remove(channel);
         toldUsage.remove(channel);
+        toldEdges.remove(channel);
     }
 
     /** Something has changed that edges are to know at once. */
@@ -97,28 +109,52 @@
     }
 
     private boolean hasNews(Message.Poll poll) {
-        return poll.coreIncarnation() != incarnation || poll.registryVersion() < registry.version()
-            || source.value().filter(value -> value.revision() > poll.revision()).isPresent();
+        return poll.coreIncarnation() != incarnation
+                || poll.registryVersion() < registry.version()
+                || source.value().filter(value -> value.revision() > poll.revision()).isPresent();
     }
 
     private void reply(Channel to, Waiting answered) {
         Message.Poll poll = answered.poll;
         long now = clock.getAsLong();
         boolean whole = poll.coreIncarnation() != incarnation;
-        RegisterValue value = source.value().filter(newest -> newest.revision() > poll.revision())
-            .map(PollHub::forEdges).orElse(null);
-        List<ServerRecord> servers = whole ? registry.all() : registry.changesSince(poll.registryVersion());
+        RegisterValue value =
+                source.value()
+                        .filter(newest -> newest.revision() > poll.revision())
+                        .map(PollHub::forEdges)
+                        .orElse(null);
+        List<ServerRecord> servers =
+                whole ? registry.all() : registry.changesSince(poll.registryVersion());
         EdgeDirectory.Place place = edges.place(now, poll.edge());
         List<Usage> usage = edges.totalsSince(whole ? 0 : toldUsage.getOrDefault(to, 0L));
         toldUsage.put(to, edges.usageVersion());
-        RecordChannel.send(to, new Message.PollReply(poll.poll(), incarnation,
-            (int) Math.min(Integer.MAX_VALUE, source.quorumAgeMs()), value, whole, registry.isComplete(now),
-            registry.version(), servers, place.edges(), place.number(), usage, source.cores()));
+        List<String> addresses = edges.addresses(now);
+        boolean sameEdges = addresses.equals(toldEdges.put(to, addresses));
+        RecordChannel.send(
+                to,
+                new Message.PollReply(
+                        poll.poll(),
+                        incarnation,
+                        (int) Math.min(Integer.MAX_VALUE, source.quorumAgeMs()),
+                        value,
+                        whole,
+                        registry.isComplete(now),
+                        registry.version(),
+                        servers,
+                        place.edges(),
+                        place.number(),
+                        usage,
+                        source.cores(),
+                        sameEdges ? List.of() : addresses));
     }
 
     /** Edges need no history. */
     private static RegisterValue forEdges(RegisterValue value) {
-        return new RegisterValue(value.revision(), value.acceptors(), value.generation(), value.document(),
-            List.of());
+        return new RegisterValue(
+                value.revision(),
+                value.acceptors(),
+                value.generation(),
+                value.document(),
+                List.of());
     }
 }
--- a/system/src/main/java/poppynotch/control/QuorumContact.java
+++ b/system/src/main/java/poppynotch/control/QuorumContact.java
@@ -6,10 +6,13 @@
 import java.util.Set;
 import poppynotch.register.AcceptorSet;
 
-/** How long ago other core processes were last heard to have heard this one. It is told the time. */
+/**
+ * How long ago other core processes were last heard to have heard this one. It is told the time.
+ */
 public final class QuorumContact {
 
     private final String self;
+
     /** When the latest heartbeat that a peer has echoed was sent. */
     private final Map<String, Long> contactMs = new HashMap<>();
 
@@ -31,10 +34,16 @@
 
     /** The shortest time within which a quorum was in contact. */
     public long quorumAgeMs(long nowMs, AcceptorSet acceptors) {
-        long[] ages = acceptors.everyone().stream().mapToLong(peer -> ageMs(nowMs, peer)).sorted().toArray();
+        long[] ages =
+                acceptors.everyone().stream()
+                        .mapToLong(peer -> ageMs(nowMs, peer))
+                        .sorted()
+                        .toArray();
         Set<String> within = new HashSet<>();
         for (long age : ages) {
-            acceptors.everyone().stream().filter(peer -> ageMs(nowMs, peer) <= age).forEach(within::add);
+            acceptors.everyone().stream()
+                    .filter(peer -> ageMs(nowMs, peer) <= age)
+                    .forEach(within::add);
             if (acceptors.isQuorum(within)) {
                 return age;
             }
--- a/system/src/main/java/poppynotch/control/RegisterReplica.java
+++ b/system/src/main/java/poppynotch/control/RegisterReplica.java
@@ -17,15 +17,14 @@
 import poppynotch.register.Vote;
 
 /**
- * One core process's part in the register: its acceptor, its proposals one after the other, the newest value
- * that it knows to be chosen, and the repair of what others left half done. It is told the time and does no
- * I/O of its own.
+ * One core process's part in the register: its acceptor, its proposals one after the other, the
+ * newest value that it knows to be chosen, and the repair of what others left half done. It is told
+ * the time and does no I/O of its own.
  */
 public final class RegisterReplica {
 
     /** A chosen value. */
-    public record Chosen(Ballot ballot, RegisterValue value) {
-    }
+    public record Chosen(Ballot ballot, RegisterValue value) {}
 
     /** What it needs of the process around it. */
     public interface Host extends Proposal.Port {
@@ -33,14 +32,18 @@
         void chosen(Chosen chosen, boolean own);
     }
 
-    private record Pending(Change change, long deadlineMs, Consumer<Outcome> end) {
-    }
+    private record Pending(Change change, long deadlineMs, Consumer<Outcome> end) {}
 
-    /** A value that others accepted and nobody has announced is looked into after this time, and some more. */
+    /**
+     * A value that others accepted and nobody has announced is looked into after this time, and
+     * some more.
+     */
     private static final long REPAIR_MS = 300;
+
     private static final int REPAIR_SPREAD_MS = 300;
     private static final int FIRST_READ_SPREAD_MS = 200;
     private static final long READ_LIMIT_MS = 1500;
+
     /** Orders that wait for their turn; more are not taken. */
     private static final int MOST_PENDING = 64;
 
@@ -65,8 +68,13 @@
      *
      * @param acceptors who decides, as far as known at the start; may be empty of members
      */
-    public RegisterReplica(String self, long incarnation, Optional<AcceptorState> kept, AcceptorSet acceptors,
-            Storage storage, Host host) {
+    public RegisterReplica(
+            String self,
+            long incarnation,
+            Optional<AcceptorState> kept,
+            AcceptorSet acceptors,
+            Storage storage,
+            Host host) {
         this.self = self;
         this.incarnation = incarnation;
         this.storage = storage;
@@ -118,8 +126,16 @@
                 next.end().accept(new Outcome.Unclear());
                 continue;
             }
-            active = new Proposal(next.change(), acceptors, highest, incarnation, next.deadlineMs(), host,
-                outcome -> ended(outcome, next), random.nextLong());
+            active =
+                    new Proposal(
+                            next.change(),
+                            acceptors,
+                            highest,
+                            incarnation,
+                            next.deadlineMs(),
+                            host,
+                            outcome -> ended(outcome, next),
+                            random.nextLong());
             active.start(nowMs);
         }
     }
@@ -165,7 +181,7 @@
         acceptor.recover(state);
         acceptors = state.value().acceptors();
         highest = Ballot.max(highest, state.promised());
-        storage.persist(state, () -> { });
+        storage.persist(state, () -> {});
     }
 
     /** A value is known to be chosen. */
@@ -209,7 +225,10 @@
         repair(nowMs);
     }
 
-    /** Reads the register where nothing is known of it, or where others hold what nobody has announced. */
+    /**
+     * Reads the register where nothing is known of it, or where others hold what nobody has
+     * announced.
+     */
     private void repair(long nowMs) {
         Ballot newest = Ballot.max(acceptedElsewhere, accepted());
         boolean behind = chosen == null || newest.compareTo(chosen.ballot()) > 0;
@@ -218,15 +237,23 @@
             return;
         }
         if (readAtMs == Long.MIN_VALUE) {
-            readAtMs = nowMs + (chosen == null ? random.nextInt(FIRST_READ_SPREAD_MS)
-                : REPAIR_MS + random.nextInt(REPAIR_SPREAD_MS));
+            readAtMs =
+                    nowMs
+                            + (chosen == null
+                                    ? random.nextInt(FIRST_READ_SPREAD_MS)
+                                    : REPAIR_MS + random.nextInt(REPAIR_SPREAD_MS));
         } else if (nowMs >= readAtMs) {
             reading = true;
-            submit(nowMs, Change.READ, nowMs + READ_LIMIT_MS, outcome -> {
-                reading = false;
-                readAtMs = Long.MIN_VALUE;
-                acceptedElsewhere = outcome instanceof Outcome.Chosen ? Ballot.ZERO : acceptedElsewhere;
-            });
+            submit(
+                    nowMs,
+                    Change.READ,
+                    nowMs + READ_LIMIT_MS,
+                    outcome -> {
+                        reading = false;
+                        readAtMs = Long.MIN_VALUE;
+                        acceptedElsewhere =
+                                outcome instanceof Outcome.Chosen ? Ballot.ZERO : acceptedElsewhere;
+                    });
         }
     }
 }
--- a/system/src/main/java/poppynotch/control/ServerRegistry.java
+++ b/system/src/main/java/poppynotch/control/ServerRegistry.java
@@ -12,23 +12,30 @@
 import poppynotch.wire.ServerState;
 
 /**
- * The servers that have registered, each held by a lease that its heartbeats renew. It is soft state: every
- * core process has its own, and they tell each other what changes. A server that has left stays known as such,
- * so that a late heartbeat does not bring it back. It does no I/O and is told the time.
+ * The servers that have registered, each held by a lease that its heartbeats renew. It is soft
+ * state: every core process has its own, and they tell each other what changes. A server that has
+ * left stays known as such, so that a late heartbeat does not bring it back. It does no I/O and is
+ * told the time.
  */
 public final class ServerRegistry {
 
     /** A lease lasts so many heartbeats, and some time for the way. */
     private static final double LEASE_HEARTBEATS = 3.5;
+
     private static final long LEASE_SLACK_MS = 800;
+
     /** How long a server that has left, or that was not heard of, is remembered. */
     private static final long TOMBSTONE_MS = 60_000;
-    /** After so many heartbeats of all servers nothing is missing in a registry that began empty. */
+
+    /**
+     * After so many heartbeats of all servers nothing is missing in a registry that began empty.
+     */
     private static final double COMPLETE_HEARTBEATS = 2.2;
 
     private static final class Entry {
         ServerRecord server;
         long heardMs;
+
         /** The registry's version at its latest change. */
         long version;
 
@@ -98,7 +105,8 @@
         if (told.state() == ServerState.LEFT) {
             return false;
         }
-        boolean revives = known.state() == ServerState.DRAINING && told.state() == ServerState.READY;
+        boolean revives =
+                known.state() == ServerState.DRAINING && told.state() == ServerState.READY;
         return told.sequence() < known.sequence() || revives && told.sequence() == known.sequence();
     }
 
@@ -116,8 +124,10 @@
     /** Another core process has heard from a server. */
     public void heard(long nowMs, String id, long sequence) {
         Entry entry = entries.get(id);
-        if (entry != null && entry.server.state() != ServerState.LEFT
-                && entry.server.state() != ServerState.EXPIRED && sequence >= entry.server.sequence()) {
+        if (entry != null
+                && entry.server.state() != ServerState.LEFT
+                && entry.server.state() != ServerState.EXPIRED
+                && sequence >= entry.server.sequence()) {
             entry.server = entry.server.withSequence(sequence);
             entry.heardMs = nowMs;
         }
@@ -137,8 +147,9 @@
         Iterator<Entry> all = entries.values().iterator();
         while (all.hasNext()) {
             Entry entry = all.next();
-            boolean alive = entry.server.state() == ServerState.READY
-                || entry.server.state() == ServerState.DRAINING;
+            boolean alive =
+                    entry.server.state() == ServerState.READY
+                            || entry.server.state() == ServerState.DRAINING;
             if (alive && nowMs - entry.heardMs > leaseMs) {
                 entry.server = entry.server.as(ServerState.EXPIRED);
                 entry.version = ++version;
@@ -151,8 +162,10 @@
 
     /** What has changed after a version. */
     public List<ServerRecord> changesSince(long since) {
-        return entries.values().stream().filter(entry -> entry.version > since)
-            .map(entry -> entry.server).toList();
+        return entries.values().stream()
+                .filter(entry -> entry.version > since)
+                .map(entry -> entry.server)
+                .toList();
     }
 
     /** Everything that is known. */
@@ -162,15 +175,20 @@
 
     /** Servers that take requests or end what they have. */
     public Collection<ServerRecord> living() {
-        return all().stream().filter(server -> server.state() == ServerState.READY
-            || server.state() == ServerState.DRAINING).toList();
+        return all().stream()
+                .filter(
+                        server ->
+                                server.state() == ServerState.READY
+                                        || server.state() == ServerState.DRAINING)
+                .toList();
     }
 
     /** The same where two registries list the same living servers in the same states. */
     public long digest() {
         long digest = 0;
         for (ServerRecord server : living()) {
-            digest += (server.id().hashCode() * 31L + server.state().ordinal()) * 0x9E3779B97F4A7C15L;
+            digest +=
+                    (server.id().hashCode() * 31L + server.state().ordinal()) * 0x9E3779B97F4A7C15L;
         }
         return digest;
     }
--- a/system/src/main/java/poppynotch/control/StatusPage.java
+++ b/system/src/main/java/poppynotch/control/StatusPage.java
@@ -19,8 +19,15 @@
     private final QuorumContact contact;
     private final boolean fenced;
 
-    StatusPage(long nowMs, String self, RegisterReplica register, ServerRegistry registry,
-            EdgeDirectory edges, CorePeers peers, QuorumContact contact, boolean fenced) {
+    StatusPage(
+            long nowMs,
+            String self,
+            RegisterReplica register,
+            ServerRegistry registry,
+            EdgeDirectory edges,
+            CorePeers peers,
+            QuorumContact contact,
+            boolean fenced) {
         this.nowMs = nowMs;
         this.self = self;
         this.register = register;
@@ -36,21 +43,47 @@
         JsonArrayBuilder cores = json.createArrayBuilder();
         for (String core : peers.known()) {
             long age = contact.ageMs(nowMs, core);
-            cores.add(json.createObjectBuilder().add("Address", core).add("LastContactMs", age)
-                .add("Acceptor", register.acceptors().contains(core)));
+            cores.add(
+                    json.createObjectBuilder()
+                            .add("Address", core)
+                            .add("LastContactMs", age)
+                            .add("Acceptor", register.acceptors().contains(core)));
         }
         JsonArrayBuilder servers = json.createArrayBuilder();
-        List<ServerRecord> sorted = registry.living().stream()
-            .sorted(Comparator.comparing(ServerRecord::backend).thenComparing(ServerRecord::id)).toList();
-        sorted.forEach(server -> servers.add(json.createObjectBuilder().add("Id", server.id())
-            .add("Backend", server.backend()).add("Address", server.address())
-            .add("Zone", server.zone()).add("State", server.state().name())));
-        JsonObjectBuilder page = json.createObjectBuilder().add("Self", self).add("HasQuorum", !fenced)
-            .add("MayVote", register.mayVote())
-            .add("Revision", register.chosen().map(chosen -> chosen.value().revision()).orElse(-1L))
-            .add("Generation", register.chosen().map(chosen -> chosen.value().generation()).orElse(0L))
-            .add("RegistryComplete", registry.isComplete(nowMs)).add("Cores", cores)
-            .add("Edges", json.createArrayBuilder(edges.present(nowMs))).add("Servers", servers);
+        List<ServerRecord> sorted =
+                registry.living().stream()
+                        .sorted(
+                                Comparator.comparing(ServerRecord::backend)
+                                        .thenComparing(ServerRecord::id))
+                        .toList();
+        sorted.forEach(
+                server ->
+                        servers.add(
+                                json.createObjectBuilder()
+                                        .add("Id", server.id())
+                                        .add("Backend", server.backend())
+                                        .add("Address", server.address())
+                                        .add("Zone", server.zone())
+                                        .add("State", server.state().name())));
+        JsonObjectBuilder page =
+                json.createObjectBuilder()
+                        .add("Self", self)
+                        .add("HasQuorum", !fenced)
+                        .add("MayVote", register.mayVote())
+                        .add(
+                                "Revision",
+                                register.chosen()
+                                        .map(chosen -> chosen.value().revision())
+                                        .orElse(-1L))
+                        .add(
+                                "Generation",
+                                register.chosen()
+                                        .map(chosen -> chosen.value().generation())
+                                        .orElse(0L))
+                        .add("RegistryComplete", registry.isComplete(nowMs))
+                        .add("Cores", cores)
+                        .add("Edges", json.createArrayBuilder(edges.present(nowMs)))
+                        .add("Servers", servers);
         return page.build().toString();
     }
 }
--- a/system/src/main/java/poppynotch/pool/Acquired.java
+++ b/system/src/main/java/poppynotch/pool/Acquired.java
@@ -4,14 +4,11 @@
 public sealed interface Acquired {
 
     /** The lowest-ranked free slot. */
-    record Granted(Slot slot) implements Acquired {
-    }
+    record Granted(Slot slot) implements Acquired {}
 
     /** Every slot is busy, or held back. */
-    record Full() implements Acquired {
-    }
+    record Full() implements Acquired {}
 
     /** No server is known that may take the call. */
-    record Nobody() implements Acquired {
-    }
+    record Nobody() implements Acquired {}
 }
--- a/system/src/main/java/poppynotch/pool/CallProfile.java
+++ b/system/src/main/java/poppynotch/pool/CallProfile.java
@@ -1,11 +1,13 @@
 package poppynotch.pool;
 
 import java.util.List;
+import poppynotch.wire.PromptPart;
 
 /**
  * What the choice of a server depends on.
  *
- * @param parts of the prompt in order; the last is the request's own or its session's; empty if there are none
+ * @param parts of the prompt in order; the last is the request's own or its session's; empty if
+ *     there are none
  * @param promptTokens in all parts
  * @param outTokens the most that it puts out
  */
--- a/system/src/main/java/poppynotch/pool/PooledServer.java
+++ b/system/src/main/java/poppynotch/pool/PooledServer.java
@@ -1,17 +1,36 @@
 package poppynotch.pool;
 
 import java.util.BitSet;
+import poppynotch.wire.PromptPart;
 import poppynotch.wire.ServerRecord;
 
 /** One server as one pool sees it. */
 final class PooledServer {
 
-    /** A slot that failed comes back after this time, and after twice as long with each further failure. */
+    /**
+     * A slot that failed comes back after this time, and after twice as long with each further
+     * failure.
+     */
     private static final long FIRST_PAUSE_MS = 200;
+
     private static final int MOST_DOUBLINGS = 5;
+
     /** A server's word on its load counts for so long. */
     private static final long REPORT_MS = 1500;
 
+    /**
+     * How fast a server is taken to read prompts before it has shown it, in tokens a ms, and the
+     * bounds.
+     */
+    private static final double FIRST_RATE = 50;
+
+    private static final double LEAST_RATE = 5;
+    private static final double MOST_RATE = 1000;
+    private static final double RATE_GAIN = 0.1;
+
+    /** Only prompts with so much to read tell of a server's speed. */
+    private static final int TELLING_TOKENS = 2000;
+
     private ServerRecord server;
     private final long hash;
     private final BitSet busy = new BitSet();
@@ -19,12 +38,22 @@
     private int failures;
     private long pausedUntilMs = Long.MIN_VALUE;
     private long lastAnswerMs;
+
+    /** Tokens of own calls whose answers have not begun. */
     private long backlogTokens;
+
     private long heldTokens;
+
+    /** When the server will have read all that sidecars are known to have sent it. */
+    private double readUntilMs;
+
+    private double tokensPerMs = FIRST_RATE;
     private int reportedRunning;
     private int reportedWaiting;
+
     /** Calls of this process among those reported. */
     private int ownWhenReported;
+
     private long reportedMs = Long.MIN_VALUE / 2;
 
     PooledServer(ServerRecord server, long cacheTokens) {
@@ -98,6 +127,11 @@
         return lastAnswerMs;
     }
 
+    /** Time in ms until the server has read what it has, and these tokens besides. */
+    double readingMs(long nowMs, int tokens) {
+        return Math.max(0, readUntilMs - nowMs) + tokens / tokensPerMs;
+    }
+
     /** Calls that others are taken to have running there, by its latest word. */
     int othersRunning(long nowMs) {
         return nowMs - reportedMs > REPORT_MS ? 0 : Math.max(0, reportedRunning - ownWhenReported);
@@ -107,19 +141,41 @@
         return nowMs - reportedMs > REPORT_MS ? 0 : reportedWaiting;
     }
 
-    void take(Slot slot) {
+    void take(long nowMs, Slot slot) {
         busy.set(slot.number());
         backlogTokens += slot.freshTokens();
         heldTokens += slot.call().promptTokens();
+        prompt(nowMs, slot.freshTokens(), slot.parts());
+    }
+
+    /** A prompt goes there, from this sidecar or another. */
+    void prompt(long nowMs, int freshTokens, Iterable<PromptPart> parts) {
+        readUntilMs = Math.max(readUntilMs, nowMs) + freshTokens / tokensPerMs;
+        cache.read(parts);
     }
 
     void read(Slot slot, long nowMs) {
         lastAnswerMs = nowMs;
         if (slot.endReading()) {
             backlogTokens -= slot.freshTokens();
+            learnRate(slot, nowMs);
         }
     }
 
+    /** What was to be read before a call, and for it, was read by its first answer. */
+    private void learnRate(Slot slot, long nowMs) {
+        double tokens = slot.expectedMs() * slot.rateThen();
+        double tookMs = nowMs - slot.takenMs();
+        if (slot.freshTokens() >= TELLING_TOKENS && tookMs > 0) {
+            double rate = Math.max(LEAST_RATE, Math.min(MOST_RATE, tokens / tookMs));
+            tokensPerMs += RATE_GAIN * (rate - tokensPerMs);
+        }
+    }
+
+    double tokensPerMs() {
+        return tokensPerMs;
+    }
+
     void heard(long nowMs) {
         lastAnswerMs = nowMs;
     }
@@ -143,7 +199,7 @@
                 lastAnswerMs = nowMs;
             }
             case UNREACHABLE, FAILED, SILENT -> pause(nowMs);
-            case REFUSED, CANCELLED -> { }
+            case REFUSED, CANCELLED -> {}
             default -> throw new IllegalStateException("an end of a slot: " + end);
         }
     }
--- a/system/src/main/java/poppynotch/pool/PromptCache.java
+++ b/system/src/main/java/poppynotch/pool/PromptCache.java
@@ -4,10 +4,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import poppynotch.wire.PromptPart;
 
 /**
- * What one server is likely to keep of prompts, derived from what this process has sent to it: the least
- * recently used parts give way first. Bounded by the server's memory and by a number of parts.
+ * What one server is likely to keep of prompts, derived from what this process has sent to it: the
+ * least recently used parts give way first. Bounded by the server's memory and by a number of
+ * parts.
  */
 final class PromptCache {
 
@@ -34,7 +36,7 @@
     }
 
     /** A prompt was read. */
-    void read(List<PromptPart> prompt) {
+    void read(Iterable<PromptPart> prompt) {
         for (PromptPart part : prompt) {
             Integer before = parts.put(part.id(), part.tokens());
             tokens += part.tokens() - (before == null ? 0 : before);
--- a/system/src/main/java/poppynotch/pool/QuotaLedger.java
+++ b/system/src/main/java/poppynotch/pool/QuotaLedger.java
@@ -8,16 +8,22 @@
 import poppynotch.config.Tenant;
 
 /**
- * What tenants may still use at this sidecar. Each tenant has a bucket that fills by its rate up to its burst,
- * and that all sidecars' use empties: own use at once, others' as the control plane tells. While the control
- * plane is silent only an even share of the rate is given out. It is told the time.
+ * What tenants may still use at this sidecar. Each tenant has a bucket that fills by its rate up to
+ * its burst, and that all sidecars' use empties: own use at once, others' as the control plane
+ * tells. While the control plane is silent only an even share of the rate is given out. It is told
+ * the time.
  */
 public final class QuotaLedger {
 
-    /** The part of the rule's slack, an even share for each sidecar, by which a bucket may be overdrawn. */
+    /**
+     * The part of the rule's slack, an even share for each sidecar, by which a bucket may be
+     * overdrawn.
+     */
     private static final double OVERDRAFT = 0.15;
+
     /** The part of a burst that a sidecar takes to be left when it has just started. */
     private static final double FIRST_LEVEL = 0.5;
+
     private static final long LONGEST_WAIT_MS = 2000;
     private static final long LEAST_WAIT_MS = 50;
 
@@ -26,8 +32,10 @@
         double level;
         long filledMs;
         long used;
+
         /** What all sidecars have used by the control plane's latest word, and this one by then. */
         long total = -1;
+
         long ownThen;
     }
 
@@ -78,13 +86,16 @@
     }
 
     private Bucket bucket(long nowMs, Tenant tenant) {
-        Bucket bucket = buckets.computeIfAbsent(tenant.name(), name -> {
-            Bucket fresh = new Bucket();
-            fresh.tenant = tenant;
-            fresh.level = FIRST_LEVEL * tenant.burst();
-            fresh.filledMs = nowMs;
-            return fresh;
-        });
+        Bucket bucket =
+                buckets.computeIfAbsent(
+                        tenant.name(),
+                        name -> {
+                            Bucket fresh = new Bucket();
+                            fresh.tenant = tenant;
+                            fresh.level = FIRST_LEVEL * tenant.burst();
+                            fresh.filledMs = nowMs;
+                            return fresh;
+                        });
         bucket.tenant = tenant;
         fill(nowMs, bucket);
         return bucket;
@@ -103,11 +114,12 @@
     /** What a tenant has used here since this process started. */
     public Map<String, Long> used() {
         Map<String, Long> used = new HashMap<>();
-        buckets.forEach((name, bucket) -> {
-            if (bucket.used > 0) {
-                used.put(name, bucket.used);
-            }
-        });
+        buckets.forEach(
+                (name, bucket) -> {
+                    if (bucket.used > 0) {
+                        used.put(name, bucket.used);
+                    }
+                });
         return used;
     }
 
@@ -130,9 +142,4 @@
         bucket.total = total;
         bucket.ownThen = ownReported;
     }
-
-    /** Another core process is asked from now on: its sums start elsewhere. */
-    public void forgetTotals() {
-        buckets.values().forEach(bucket -> bucket.total = -1);
-    }
 }
--- a/system/src/main/java/poppynotch/pool/RetryBudget.java
+++ b/system/src/main/java/poppynotch/pool/RetryBudget.java
@@ -1,13 +1,14 @@
 package poppynotch.pool;
 
 /**
- * One sidecar's share of the repeats that all may send to a service: a part of its own first sends, and an
- * even share of the slack, both held below the rule's bound. It is told the time.
+ * One sidecar's share of the repeats that all may send to a service: a part of its own first sends,
+ * and an even share of the slack, both held below the rule's bound. It is told the time.
  */
 public final class RetryBudget {
 
     /** The part of the ratio, and of the slack, that is given out. */
     private static final double SAFE_PART = 0.6;
+
     private static final double LEAST_SAVINGS = 1;
 
     private final double ratio;
--- a/system/src/main/java/poppynotch/pool/ServerPool.java
+++ b/system/src/main/java/poppynotch/pool/ServerPool.java
@@ -6,36 +6,59 @@
 import java.util.Map;
 import java.util.Set;
 import poppynotch.config.Backend;
+import poppynotch.wire.Message;
 import poppynotch.wire.ServerRecord;
 
 /**
- * One sidecar's pool of slots on the servers of one service, after Boxcar: a call takes the lowest-ranked
- * free slot, and a full pool rejects it. Slot k of a server has the rank k·B + ((own number + hash of the
- * server) mod B), with B the number of sidecars, so that no two sidecars hold one rank at a server. For
- * servers that run a model, what a call would cost there comes before it: the tokens of its prompt that the
- * server must read anew, and those that it has yet to read for others. It does no I/O and is told the time.
+ * One sidecar's pool of slots on the servers of one service, after Boxcar: a call takes the
+ * lowest-ranked free slot, and a full pool rejects it. Slot k of a server has the rank k·B + ((own
+ * number + hash of the server) mod B), with B the number of sidecars, so that no two sidecars hold
+ * one rank at a server. For servers that run a model, the time to a call's first answer there comes
+ * before it: what the server has yet to read of prompts, of this sidecar and of those that tell
+ * theirs, and what it must read anew for the call. It does no I/O and is told the time.
  */
 public final class ServerPool {
 
     /** The most slots in use at once, however many servers there are. */
     private static final int CEILING = 1024;
-    /** A sidecar may use so many times its even share of a server's slots: clients are spread unevenly. */
+
+    /**
+     * A sidecar may use so many times its even share of a server's slots: clients are spread
+     * unevenly.
+     */
     private static final double SHARE_FACTOR = 2.5;
+
     private static final int LEAST_SLOTS = 4;
-    /** What a running call costs a new one, as tokens to be read. */
-    private static final double TOKENS_PER_RUNNING = 150;
-    private static final double TOKENS_PER_WAITING = 4000;
-    /** Own unread tokens stand for those of other sidecars too. */
-    private static final double BACKLOG_WEIGHT = 2;
-    /** The part of the shared tokens that the home of a prompt is taken to keep though it was not seen. */
-    private static final double HOME_TRUST = 0.9;
+
+    /**
+     * What a call that runs, or waits, adds to the time that a new one takes to its first answer,
+     * in ms.
+     */
+    private static final double MS_PER_RUNNING = 2;
+
+    private static final double MS_PER_WAITING = 60;
+
+    /**
+     * The part of the shared tokens that the home of a prompt is taken to keep though it was not
+     * seen.
+     */
+    private static final double HOME_TRUST = 0.2;
+
     /** A waiting call at a server without a model is as bad as so many rounds of ranks. */
     private static final double ROUNDS_PER_WAITING = 2;
+
     /** Another zone costs a call without a model so many rounds of ranks. */
     private static final double ROUNDS_ACROSS_ZONES = 0.5;
-    /** Where a rank decides between equal costs, in tokens a round. */
-    private static final double TOKENS_PER_ROUND = 64;
-    /** A server that keeps more than this part of its memory busy with own calls is left for later. */
+
+    /** Where a rank decides between equal costs, in ms a round. */
+    private static final double MS_PER_ROUND = 1;
+
+    /** A server whose memory own calls fill comes after all others. */
+    private static final double FULL_MS = 60_000;
+
+    /**
+     * A server that keeps more than this part of its memory busy with own calls is left for later.
+     */
     private static final double MEMORY_SHARE = 0.9;
 
     private final String zone;
@@ -62,7 +85,9 @@
         number = ownNumber;
     }
 
-    /** The servers that may take calls from now on; slots on others are dropped as their calls end. */
+    /**
+     * The servers that may take calls from now on; slots on others are dropped as their calls end.
+     */
     public void update(Collection<ServerRecord> ready) {
         Set<String> named = new HashSet<>();
         for (ServerRecord server : ready) {
@@ -109,9 +134,8 @@
         if (best == null) {
             return any ? new Acquired.Full() : new Acquired.Nobody();
         }
-        Slot slot = new Slot(best, best.lowestFree(), call, freshTokens(call, best, false));
-        best.take(slot);
-        best.cache().read(call.parts());
+        Slot slot = new Slot(nowMs, best, call, freshTokens(call, best, false));
+        best.take(nowMs, slot);
         inUse++;
         return new Acquired.Granted(slot);
     }
@@ -125,7 +149,9 @@
         return Math.min(slots, Math.max(LEAST_SLOTS, share));
     }
 
-    /** The server on which all sidecars look first for what such calls share: the same one for each. */
+    /**
+     * The server on which all sidecars look first for what such calls share: the same one for each.
+     */
     private PooledServer home(CallProfile call) {
         if (call.parts().isEmpty()) {
             return null;
@@ -154,11 +180,12 @@
             double across = server.record().zone().equals(zone) ? 0 : ROUNDS_ACROSS_ZONES * edges;
             return own + across + server.waiting(nowMs) * ROUNDS_PER_WAITING * edges;
         }
-        double rounds = own / edges * TOKENS_PER_ROUND;
-        double full = server.heldTokens() > MEMORY_SHARE * backend.kvTokens() ? backend.kvTokens() : 0;
-        return freshTokens(call, server, isHome) + BACKLOG_WEIGHT * server.backlogTokens()
-            + TOKENS_PER_RUNNING * (server.busy() + server.othersRunning(nowMs))
-            + TOKENS_PER_WAITING * server.waiting(nowMs) + rounds + full;
+        double full = server.heldTokens() > MEMORY_SHARE * backend.kvTokens() ? FULL_MS : 0;
+        return server.readingMs(nowMs, freshTokens(call, server, isHome))
+                + MS_PER_RUNNING * (server.busy() + server.othersRunning(nowMs))
+                + MS_PER_WAITING * server.waiting(nowMs)
+                + own / edges * MS_PER_ROUND
+                + full;
     }
 
     private static int freshTokens(CallProfile call, PooledServer server, boolean isHome) {
@@ -170,6 +197,14 @@
         return Math.max(0, call.promptTokens() - kept);
     }
 
+    /** Another sidecar sends a prompt to a server. */
+    public void promptSentElsewhere(long nowMs, Message.PromptSent sent) {
+        PooledServer server = servers.get(sent.serverId());
+        if (server != null) {
+            server.prompt(nowMs, sent.freshTokens(), sent.parts());
+        }
+    }
+
     /** The first part of the answer has come. */
     public void answered(long nowMs, Slot slot) {
         slot.server().read(slot, nowMs);
@@ -185,7 +220,9 @@
         slot.server().reported(nowMs, running, waiting);
     }
 
-    /** When something last came from the server of a slot, on any connection; 0 if nothing has yet. */
+    /**
+     * When something last came from the server of a slot, on any connection; 0 if nothing has yet.
+     */
     public long lastAnswerMs(Slot slot) {
         return slot.server().lastAnswerMs();
     }
--- a/system/src/main/java/poppynotch/pool/Slot.java
+++ b/system/src/main/java/poppynotch/pool/Slot.java
@@ -1,19 +1,35 @@
 package poppynotch.pool;
 
+import java.util.List;
+import poppynotch.wire.PromptPart;
+
 /** The right to have one call at one server, under a rank that no other sidecar holds there. */
 public final class Slot {
 
     private final PooledServer server;
     private final int number;
     private final CallProfile call;
+
     /** Tokens of the prompt that the server is taken to read anew for this call. */
     private final int freshTokens;
+
+    private final long takenMs;
+
+    /**
+     * Time after which the first answer was expected, and the server's speed that this rests on.
+     */
+    private final double expectedMs;
+
+    private final double rateThen;
     private boolean reading = true;
     private boolean released;
 
-    Slot(PooledServer server, int number, CallProfile call, int freshTokens) {
+    Slot(long nowMs, PooledServer server, CallProfile call, int freshTokens) {
         this.server = server;
-        this.number = number;
+        number = server.lowestFree();
+        takenMs = nowMs;
+        expectedMs = server.readingMs(nowMs, freshTokens);
+        rateThen = server.tokensPerMs();
         this.call = call;
         this.freshTokens = freshTokens;
     }
@@ -47,13 +63,31 @@
         return was;
     }
 
+    long takenMs() {
+        return takenMs;
+    }
+
+    double expectedMs() {
+        return expectedMs;
+    }
+
+    double rateThen() {
+        return rateThen;
+    }
+
     boolean release() {
         boolean first = !released;
         released = true;
         return first;
     }
 
-    int freshTokens() {
+    /** Parts of the prompt of its call. */
+    public List<PromptPart> parts() {
+        return call.parts();
+    }
+
+    /** Tokens that the server is taken to read anew. */
+    public int freshTokens() {
         return freshTokens;
     }
 }
--- a/system/src/main/java/poppynotch/router/ClientAnswer.java
+++ b/system/src/main/java/poppynotch/router/ClientAnswer.java
@@ -22,6 +22,8 @@
     /** The body will not be whole: the connection ends, so that it does not look so. */
     void breakOff();
 
-    /** An answer of this program; {@code retryAfterMs} is 0 where it says nothing of coming back. */
+    /**
+     * An answer of this program; {@code retryAfterMs} is 0 where it says nothing of coming back.
+     */
     void own(Reply reply, long retryAfterMs);
 }
--- a/system/src/main/java/poppynotch/router/ClientConnection.java
+++ b/system/src/main/java/poppynotch/router/ClientConnection.java
@@ -37,6 +37,7 @@
 
     private static final String BEARER = "Bearer ";
     private static final double MS_PER_S = 1000;
+
     /** Messages of requests sent ahead that are kept before reading pauses. */
     private static final int MOST_AHEAD = 64;
 
@@ -47,8 +48,10 @@
     private long startedMs;
     private long quietSinceMs;
     private Exchange exchange;
+
     /** A request is in hand: its answer is not complete. */
     private boolean busy;
+
     private boolean keepAlive = true;
     private boolean closing;
     private final Deque<Object> ahead = new ArrayDeque<>();
@@ -81,12 +84,16 @@
         ahead.clear();
     }
 
-    /** Closes a connection that has been idle, or a request that has been on its way, for too long. */
+    /**
+     * Closes a connection that has been idle, or a request that has been on its way, for too long.
+     */
     void checkIdle(long now) {
         ClientLimits limits = limits();
         boolean idle = !busy && reading == null && now - quietSinceMs > limits.idleTimeoutMs();
-        boolean slow = !busy && reading != null
-            && now - startedMs > limits.headerTimeoutMs() + limits.idleTimeoutMs();
+        boolean slow =
+                !busy
+                        && reading != null
+                        && now - startedMs > limits.headerTimeoutMs() + limits.idleTimeoutMs();
         if (idle || slow) {
             ctx.close();
         }
@@ -144,7 +151,8 @@
         }
         keepAlive = HttpUtil.isKeepAlive(request);
         if (HttpUtil.is100ContinueExpected(request)) {
-            ctx.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+            ctx.writeAndFlush(
+                    new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
         reading = request;
         body = ctx.alloc().heapBuffer();
@@ -166,7 +174,8 @@
             ByteBuf whole = body;
             body = null;
             busy = true;
-            dispatch(new ClientRequest(head.method(), head.uri(), head.headers(), whole, startedMs));
+            dispatch(
+                    new ClientRequest(head.method(), head.uri(), head.headers(), whole, startedMs));
         }
     }
 
@@ -207,7 +216,15 @@
             reject(request, Reply.OVER_QUOTA, wait);
             return;
         }
-        exchange = new Exchange(edge, request, this, route.get(), tenant, amount, patience(request, route.get()));
+        exchange =
+                new Exchange(
+                        edge,
+                        request,
+                        this,
+                        route.get(),
+                        tenant,
+                        amount,
+                        patience(request, route.get()));
         exchange.start();
     }
 
@@ -225,7 +242,8 @@
     private static Optional<String> key(HttpHeaders headers) {
         String value = headers.get(HttpHeaderNames.AUTHORIZATION, "");
         return value.regionMatches(true, 0, BEARER, 0, BEARER.length())
-            ? Optional.of(value.substring(BEARER.length()).trim()) : Optional.empty();
+                ? Optional.of(value.substring(BEARER.length()).trim())
+                : Optional.empty();
     }
 
     private static long amount(HttpHeaders headers, Tenant tenant) {
@@ -249,21 +267,26 @@
 
     @Override
     public void whole(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
-        HttpUtil.setContentLength(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers),
-            content.readableBytes());
+        HttpUtil.setContentLength(
+                new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers),
+                content.readableBytes());
         headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
-        write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content, headers,
-            EmptyHttpHeaders.INSTANCE));
+        write(
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, status, content, headers, EmptyHttpHeaders.INSTANCE));
     }
 
     @Override
     public void own(Reply reply, long retryAfterMs) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, reply.status(),
-            Unpooled.EMPTY_BUFFER);
+        FullHttpResponse response =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, reply.status(), Unpooled.EMPTY_BUFFER);
         HttpUtil.setContentLength(response, 0);
         if (retryAfterMs > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER,
-                String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_S));
+            response.headers()
+                    .set(
+                            HttpHeaderNames.RETRY_AFTER,
+                            String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_S));
         }
         write(response);
     }
--- a/system/src/main/java/poppynotch/router/ClientRequest.java
+++ b/system/src/main/java/poppynotch/router/ClientRequest.java
@@ -10,7 +10,8 @@
  * @param body the request's own, to be released by whoever ends it
  * @param arrivedMs when its first byte was read
  */
-record ClientRequest(HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, long arrivedMs) {
+record ClientRequest(
+        HttpMethod method, String uri, HttpHeaders headers, ByteBuf body, long arrivedMs) {
 
     /** The path without its query. */
     String path() {
--- a/system/src/main/java/poppynotch/router/ControlClient.java
+++ b/system/src/main/java/poppynotch/router/ControlClient.java
@@ -26,32 +26,40 @@
 import poppynotch.wire.Usage;
 
 /**
- * Long polls to two core processes at once, so that news comes also while one of them hangs. A core process
- * that is silent, or out of contact with a quorum, gives way to another. Owned by the event loop.
+ * Long polls to two core processes at once, so that news comes also while one of them hangs. A core
+ * process that is silent, or out of contact with a quorum, gives way to another. Owned by the event
+ * loop.
  */
 final class ControlClient {
 
     private static final Logger LOG = LoggerFactory.getLogger(ControlClient.class);
     private static final int LINKS = 2;
     private static final int CONNECT_MS = 400;
+
     /** An answer is due within this time: core processes hold polls for less than half of it. */
     private static final long SILENCE_MS = 600;
+
     /** A core process that failed is asked again after this time, sooner if there is no other. */
     private static final long AVOID_MS = 1500;
+
     private static final long QUORUM_AGE_MS = 1000;
+
     /** Without any good answer for so long, this edge counts as out of contact. */
     private static final long CONTACT_MS = 1500;
 
+    /** A core process that no other has named for so long is forgotten; seeds are not. */
+    private static final long FORGET_MS = 60_000;
+
     /** Where the answers go. */
-    interface Listener {
+    interface Listener extends QuotaFeed.Sink {
         void value(RegisterValue value);
 
         void servers(Collection<ServerRecord> servers);
 
         void place(int edges, int number);
 
-        /** What all edges have used; {@code first} where it can't be compared with what was told before. */
-        void total(String tenant, long amount, long ownReported, boolean first);
+        /** Where all edges take datagrams. */
+        void edges(List<String> addresses);
 
         /** What this edge has used since its start. */
         Map<String, Long> used();
@@ -72,7 +80,6 @@
         long registryVersion;
         long goodMs = Long.MIN_VALUE / 2;
         final Map<String, Long> reported = new HashMap<>();
-        final Map<String, Long> totals = new HashMap<>();
 
         Link(int index) {
             this.index = index;
@@ -83,34 +90,44 @@
             connecting = true;
             sentMs = now;
             HostPort at = HostPort.parse(to).withPort(settings.peerPort());
-            ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel fresh) {
-                    RecordChannel.install(fresh.pipeline(), (from, message) -> received(from, message));
-                }
-            }).connect(at.socketAddress());
-            future.addListener(done -> {
-                connecting = false;
-                if (done.isSuccess()) {
-                    connected(future.channel());
-                } else {
-                    leave("it can't be reached");
-                }
-            });
+            ChannelFuture future =
+                    bootstrap
+                            .clone()
+                            .handler(
+                                    new ChannelInitializer<Channel>() {
+                                        @Override
+                                        protected void initChannel(Channel fresh) {
+                                            RecordChannel.install(
+                                                    fresh.pipeline(),
+                                                    (from, message) -> received(from, message));
+                                        }
+                                    })
+                            .connect(at.socketAddress());
+            future.addListener(
+                    done -> {
+                        connecting = false;
+                        if (done.isSuccess()) {
+                            connected(future.channel());
+                        } else {
+                            leave("it can't be reached");
+                        }
+                    });
         }
 
         private void connected(Channel fresh) {
             channel = fresh;
             reported.clear();
-            totals.clear();
+            quotas.begins(index);
             coreIncarnation = 0;
             registryVersion = 0;
             directory.forget(index);
-            fresh.closeFuture().addListener(closed -> {
-                if (channel == fresh) {
-                    leave("the connection has ended");
-                }
-            });
+            fresh.closeFuture()
+                    .addListener(
+                            closed -> {
+                                if (channel == fresh) {
+                                    leave("the connection has ended");
+                                }
+                            });
             poll();
         }
 
@@ -130,20 +147,33 @@
 
         void poll() {
             List<Usage> usage = new ArrayList<>();
-            listener.used().forEach((tenant, amount) -> {
-                if (amount > reported.getOrDefault(tenant, 0L)) {
-                    reported.put(tenant, amount);
-                    usage.add(new Usage(tenant, amount));
-                }
-            });
+            listener.used()
+                    .forEach(
+                            (tenant, amount) -> {
+                                if (amount > reported.getOrDefault(tenant, 0L)) {
+                                    reported.put(tenant, amount);
+                                    usage.add(new Usage(tenant, amount));
+                                }
+                            });
             sentMs = clock.getAsLong();
             waiting = true;
-            RecordChannel.send(channel, new Message.Poll(settings.name(), incarnation, ++poll,
-                listener.revision(), coreIncarnation, registryVersion, usage));
+            RecordChannel.send(
+                    channel,
+                    new Message.Poll(
+                            settings.name(),
+                            incarnation,
+                            ownAddress,
+                            ++poll,
+                            listener.revision(),
+                            coreIncarnation,
+                            registryVersion,
+                            usage));
         }
 
         private void received(Channel from, Message message) {
-            if (from != channel || !(message instanceof Message.PollReply reply) || reply.poll() != poll) {
+            if (from != channel
+                    || !(message instanceof Message.PollReply reply)
+                    || reply.poll() != poll) {
                 return;
             }
             waiting = false;
@@ -159,28 +189,27 @@
 
         private void take(Message.PollReply reply) {
             goodMs = clock.getAsLong();
-            reply.cores().forEach(known -> cores.put(known, goodMs));
+            reply.cores().forEach(known -> cores.merge(known, goodMs, Math::max));
+            cores.values().removeIf(heardMs -> goodMs - heardMs > FORGET_MS);
             if (reply.value() != null && reply.value().revision() > listener.revision()) {
                 listener.value(reply.value());
             }
-            if (directory.update(index, reply.wholeRegistry(), reply.registryComplete(), reply.servers())) {
+            if (directory.update(
+                    index, reply.wholeRegistry(), reply.registryComplete(), reply.servers())) {
                 listener.servers(directory.servers());
             }
             coreIncarnation = reply.coreIncarnation();
             registryVersion = reply.registryVersion();
             listener.place(reply.edges(), reply.number());
-            boolean primary = choosePrimary(this);
-            for (Usage total : reply.usage()) {
-                totals.put(total.tenant(), total.amount());
-                if (primary) {
-                    listener.total(total.tenant(), total.amount(),
-                        reported.getOrDefault(total.tenant(), 0L), false);
-                }
+            if (!reply.edgeAddresses().isEmpty()) {
+                listener.edges(reply.edgeAddresses());
             }
+            quotas.told(goodMs, index, reply.usage(), reported);
         }
     }
 
     private final NodeSettings settings;
+    private final String ownAddress;
     private final LongSupplier clock;
     private final Listener listener;
     private final Bootstrap bootstrap;
@@ -189,21 +218,31 @@
     private final Map<String, Long> cores = new LinkedHashMap<>();
     private final Map<String, Long> avoidUntilMs = new HashMap<>();
     private final List<Link> links = new ArrayList<>();
-    private Link primary;
+    private final QuotaFeed quotas;
 
     ControlClient(EventLoop loop, NodeSettings settings, LongSupplier clock, Listener listener) {
         this.settings = settings;
+        ownAddress = new HostPort(settings.ip(), settings.peerPort()).toString();
         this.clock = clock;
         this.listener = listener;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
-        settings.seeds().forEach(seed -> cores.put(seed.toString(), Long.MAX_VALUE));
+        quotas = new QuotaFeed(listener, SILENCE_MS);
+        bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
+        know(settings);
         for (int i = 0; i < LINKS; i++) {
             links.add(new Link(i));
         }
     }
 
+    /** Takes in the seeds of settings. */
+    void know(NodeSettings told) {
+        told.seeds().forEach(seed -> cores.put(seed.toString(), Long.MAX_VALUE));
+    }
+
     /** Whether a core process with a quorum has answered lately. */
     boolean inContact() {
         long now = clock.getAsLong();
@@ -235,27 +274,21 @@
 
     /** A core process that no other link uses, none that failed lately if there is a choice. */
     private String next(long now, Link link) {
-        List<String> free = cores.keySet().stream()
-            .filter(core -> links.stream().noneMatch(other -> core.equals(other.core))).toList();
-        List<String> good = free.stream()
-            .filter(core -> now >= avoidUntilMs.getOrDefault(core, Long.MIN_VALUE)).toList();
+        List<String> free =
+                cores.keySet().stream()
+                        .filter(core -> links.stream().noneMatch(other -> core.equals(other.core)))
+                        .toList();
+        List<String> good =
+                free.stream()
+                        .filter(core -> now >= avoidUntilMs.getOrDefault(core, Long.MIN_VALUE))
+                        .toList();
         if (!good.isEmpty()) {
             return good.get(ThreadLocalRandom.current().nextInt(good.size()));
         }
-        boolean otherServes = links.stream().anyMatch(other -> other != link && other.channel != null);
-        return free.isEmpty() || otherServes ? null : free.get(ThreadLocalRandom.current().nextInt(free.size()));
-    }
-
-    /** Sums of different core processes can't be compared: one is followed while it answers. */
-    private boolean choosePrimary(Link answered) {
-        long now = clock.getAsLong();
-        if (primary != null && (primary == answered || now - primary.goodMs <= SILENCE_MS)
-                && primary.channel != null) {
-            return primary == answered;
-        }
-        primary = answered;
-        answered.totals.forEach((tenant, amount) -> listener.total(tenant, amount,
-            answered.reported.getOrDefault(tenant, 0L), true));
-        return true;
+        boolean otherServes =
+                links.stream().anyMatch(other -> other != link && other.channel != null);
+        return free.isEmpty() || otherServes
+                ? null
+                : free.get(ThreadLocalRandom.current().nextInt(free.size()));
     }
 }
--- a/system/src/main/java/poppynotch/router/EdgeContext.java
+++ b/system/src/main/java/poppynotch/router/EdgeContext.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.Set;
+import poppynotch.pool.Slot;
 
 /** What the parts of an edge share. */
 interface EdgeContext {
@@ -18,6 +19,9 @@
     /** The requests in hand. */
     Set<Exchange> active();
 
+    /** A prompt goes to a server: the other edges are told. */
+    void announce(String backend, Slot slot);
+
     /** Whether the servers of a service run a model. */
     boolean hasEngine(String backend);
 
--- a/system/src/main/java/poppynotch/router/EdgeNode.java
+++ b/system/src/main/java/poppynotch/router/EdgeNode.java
@@ -36,8 +36,12 @@
 import poppynotch.config.ConfigResult;
 import poppynotch.config.DocumentCodec;
 import poppynotch.config.FleetConfig;
+import poppynotch.pool.ServerPool;
+import poppynotch.pool.Slot;
 import poppynotch.register.RegisterValue;
+import poppynotch.settings.HostPort;
 import poppynotch.settings.NodeSettings;
+import poppynotch.wire.Message;
 import poppynotch.wire.ServerRecord;
 
 /** An edge process: clients in, servers out. All of its tables belong to one event loop. */
@@ -49,8 +53,10 @@
     private static final int MAX_CHUNK = 16 * 1024;
     private static final int TICK_MS = 50;
     private static final long SWEEP_MS = 500;
+
     /** After SIGTERM the platform sends new connections for up to two of its probes more. */
     private static final long LINGER_MS = 2600;
+
     /** What is left of the time before SIGKILL when the last requests are given up. */
     private static final long KILL_MARGIN_MS = 300;
 
@@ -59,9 +65,11 @@
     private final FleetState state;
     private final UpstreamConnections connections;
     private final ControlClient control;
+    private final EdgePeers peers;
     private final Set<Exchange> active = new LinkedHashSet<>();
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private final CountDownLatch ended = new CountDownLatch(1);
+    private Set<String> knownServers = Set.of();
     private long revision = -1;
     private boolean draining;
     private long drainingSinceMs;
@@ -73,20 +81,28 @@
         state = new FleetState(settings);
         connections = new UpstreamConnections(loop, this::now);
         control = new ControlClient(loop, settings, this::now, this);
+        peers = new EdgePeers(new HostPort(settings.ip(), settings.peerPort()), this::announced);
     }
 
     /** Starts an edge; an exception says plainly why it can't. */
     public static EdgeNode start(NodeSettings settings, EventLoopGroup group) throws IOException {
-        InetSocketAddress front = settings.front().orElseThrow(
-            () -> new IllegalArgumentException("Bind.Front is missing")).socketAddress();
+        InetSocketAddress front =
+                settings.front()
+                        .orElseThrow(() -> new IllegalArgumentException("Bind.Front is missing"))
+                        .socketAddress();
         EdgeNode node = new EdgeNode(settings, (EventLoop) group.next());
         try {
             node.listen(group, front, node::initClient);
             if (settings.readiness().isPresent()) {
                 node.listen(group, settings.readiness().get().socketAddress(), node::initReadiness);
             }
-            node.loop.submit(() -> node.loop.scheduleWithFixedDelay(node::tick, 0, TICK_MS,
-                TimeUnit.MILLISECONDS)).sync();
+            node.peers.listen(node.loop);
+            node.loop
+                    .submit(
+                            () ->
+                                    node.loop.scheduleWithFixedDelay(
+                                            node::tick, 0, TICK_MS, TimeUnit.MILLISECONDS))
+                    .sync();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted while starting", e);
@@ -97,43 +113,60 @@
 
     private void listen(EventLoopGroup group, InetSocketAddress at, Consumer<Channel> init)
             throws InterruptedException {
-        new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, 1024)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    init.accept(channel);
-                }
-            }).bind(at).sync();
+        new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                        new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel channel) {
+                                init.accept(channel);
+                            }
+                        })
+                .bind(at)
+                .sync();
     }
 
     private void initClient(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(MAX_LINE, MAX_HEADER, MAX_CHUNK),
-            new ClientConnection(this));
+        channel.pipeline()
+                .addLast(
+                        new HttpServerCodec(MAX_LINE, MAX_HEADER, MAX_CHUNK),
+                        new ClientConnection(this));
     }
 
     private void initReadiness(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new SimpleChannelInboundHandler<HttpRequest>() {
-            @Override
-            protected void channelRead0(ChannelHandlerContext ctx, HttpRequest request) {
-                FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    Unpooled.EMPTY_BUFFER);
-                HttpUtil.setContentLength(response, 0);
-                boolean keep = HttpUtil.isKeepAlive(request);
-                HttpUtil.setKeepAlive(response, keep);
-                var written = ctx.writeAndFlush(response);
-                if (!keep) {
-                    written.addListener(ChannelFutureListener.CLOSE);
-                }
-            }
-
-            @Override
-            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                ctx.close();
-            }
-        });
+        channel.pipeline()
+                .addLast(
+                        new HttpServerCodec(),
+                        new SimpleChannelInboundHandler<HttpRequest>() {
+                            @Override
+                            protected void channelRead0(
+                                    ChannelHandlerContext ctx, HttpRequest request) {
+                                FullHttpResponse response =
+                                        new DefaultFullHttpResponse(
+                                                HttpVersion.HTTP_1_1,
+                                                isReady()
+                                                        ? HttpResponseStatus.OK
+                                                        : HttpResponseStatus.SERVICE_UNAVAILABLE,
+                                                Unpooled.EMPTY_BUFFER);
+                                HttpUtil.setContentLength(response, 0);
+                                boolean keep = HttpUtil.isKeepAlive(request);
+                                HttpUtil.setKeepAlive(response, keep);
+                                var written = ctx.writeAndFlush(response);
+                                if (!keep) {
+                                    written.addListener(ChannelFutureListener.CLOSE);
+                                }
+                            }
+
+                            @Override
+                            public void exceptionCaught(
+                                    ChannelHandlerContext ctx, Throwable cause) {
+                                ctx.close();
+                            }
+                        });
     }
 
     private boolean isReady() {
@@ -149,7 +182,7 @@
             if (now >= nextSweepMs) {
                 nextSweepMs = now + SWEEP_MS;
                 List.copyOf(clients).forEach(client -> client.checkIdle(now));
-                sweepConnections();
+                connections.keepOnly(knownServers);
             }
             if (draining) {
                 drain(now);
@@ -159,21 +192,23 @@
         }
     }
 
-    private void sweepConnections() {
-        connections.keepOnly(knownServers);
+    /** The settings file has changed: the seeds may be others. */
+    public void reload(NodeSettings changed) {
+        loop.execute(() -> control.know(changed));
     }
 
-    private Set<String> knownServers = Set.of();
-
     // ---- the end ----
 
-    /** Sends clients elsewhere, ends what is in hand, and returns when that is done or time is up. */
+    /**
+     * Sends clients elsewhere, ends what is in hand, and returns when that is done or time is up.
+     */
     public void shutDown() throws InterruptedException {
-        loop.execute(() -> {
-            draining = true;
-            drainingSinceMs = now();
-            LOG.info("draining: {} requests in hand", active.size());
-        });
+        loop.execute(
+                () -> {
+                    draining = true;
+                    drainingSinceMs = now();
+                    LOG.info("draining: {} requests in hand", active.size());
+                });
         ended.await();
     }
 
@@ -229,8 +264,29 @@
         return revision;
     }
 
+    @Override
+    public void edges(List<String> addresses) {
+        peers.know(addresses);
+    }
+
     // ---- what the parts share ----
 
+    @Override
+    public void announce(String backend, Slot slot) {
+        if (!slot.parts().isEmpty()) {
+            peers.send(
+                    new Message.PromptSent(
+                            slot.serverId(), backend, slot.freshTokens(), slot.parts()));
+        }
+    }
+
+    private void announced(Message.PromptSent sent) {
+        ServerPool pool = state.pool(sent.backend());
+        if (pool != null) {
+            pool.promptSentElsewhere(now(), sent);
+        }
+    }
+
     @Override
     public EventLoop loop() {
         return loop;
--- /dev/null
+++ b/system/src/main/java/poppynotch/router/EdgePeers.java
@@ -0,0 +1,96 @@
+package poppynotch.router;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.function.Consumer;
+import poppynotch.settings.HostPort;
+import poppynotch.wire.Message;
+import poppynotch.wire.MessageCodec;
+
+/**
+ * Datagrams between edges, which tell where prompts are read. A lost one costs a worse choice, no
+ * more.
+ */
+final class EdgePeers {
+
+    /** Datagrams longer than this are not sent: networks would cut them in pieces. */
+    private static final int MOST_BYTES = 1400;
+
+    /** More edges than this are not told: the cost of a prompt would grow with the fleet. */
+    private static final int MOST_PEERS = 64;
+
+    private final HostPort own;
+    private final Consumer<Message.PromptSent> receiver;
+    private Channel channel;
+    private List<InetSocketAddress> peers = List.of();
+
+    EdgePeers(HostPort own, Consumer<Message.PromptSent> receiver) {
+        this.own = own;
+        this.receiver = receiver;
+    }
+
+    void listen(EventLoop loop) throws InterruptedException {
+        channel =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioDatagramChannel.class)
+                        .handler(
+                                new SimpleChannelInboundHandler<DatagramPacket>() {
+                                    @Override
+                                    protected void channelRead0(
+                                            ChannelHandlerContext ctx, DatagramPacket packet) {
+                                        received(ByteBufUtil.getBytes(packet.content()));
+                                    }
+
+                                    @Override
+                                    public void exceptionCaught(
+                                            ChannelHandlerContext ctx, Throwable cause) {
+                                        // A peer that is down makes sending fail; what matters
+                                        // comes by the control plane.
+                                    }
+                                })
+                        .bind(own.socketAddress())
+                        .sync()
+                        .channel();
+    }
+
+    private void received(byte[] record) {
+        try {
+            if (MessageCodec.decode(record) instanceof Message.PromptSent sent) {
+                receiver.accept(sent);
+            }
+        } catch (IOException e) {
+            // Not one of ours.
+        }
+    }
+
+    /** The addresses of all edges, this one included. */
+    void know(List<String> addresses) {
+        peers =
+                addresses.stream()
+                        .filter(address -> !address.equals(own.toString()))
+                        .limit(MOST_PEERS)
+                        .map(address -> HostPort.parse(address).socketAddress())
+                        .toList();
+    }
+
+    void send(Message.PromptSent sent) {
+        byte[] record = MessageCodec.encode(sent);
+        if (record.length <= MOST_BYTES) {
+            for (InetSocketAddress peer : peers) {
+                channel.write(new DatagramPacket(Unpooled.wrappedBuffer(record), peer));
+            }
+            channel.flush();
+        }
+    }
+}
--- a/system/src/main/java/poppynotch/router/EventSplitter.java
+++ b/system/src/main/java/poppynotch/router/EventSplitter.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 
 /**
- * Cuts an event stream between its events, so that half an event is never passed on, and knows the id of the
- * last whole one. Events at or below an id that was passed on already are left out.
+ * Cuts an event stream between its events, so that half an event is never passed on, and knows the
+ * id of the last whole one. Events at or below an id that was passed on already are left out.
  */
 final class EventSplitter {
 
@@ -33,7 +33,9 @@
         return pending.isReadable();
     }
 
-    /** Takes in what has come, and gives all events that are whole by now; null if there are none. */
+    /**
+     * Takes in what has come, and gives all events that are whole by now; null if there are none.
+     */
     ByteBuf add(ByteBuf data) {
         pending.writeBytes(data);
         ByteBuf whole = null;
@@ -93,8 +95,12 @@
             int end = event.indexOf(start, event.writerIndex(), LINE_FEED);
             end = end < 0 ? event.writerIndex() : end;
             if (startsWithId(event, start, end)) {
-                return Optional.of(event.toString(start + ID.length, end - start - ID.length,
-                    StandardCharsets.UTF_8).trim());
+                return Optional.of(
+                        event.toString(
+                                        start + ID.length,
+                                        end - start - ID.length,
+                                        StandardCharsets.UTF_8)
+                                .trim());
             }
             start = end + 1;
         }
--- a/system/src/main/java/poppynotch/router/Exchange.java
+++ b/system/src/main/java/poppynotch/router/Exchange.java
@@ -29,21 +29,28 @@
 
 /**
  * One client's request and the servers it is sent to. What may have run is sent again only if it is
- * idempotent; what is answered with a promise that it did not run, never ran. Owned by the event loop.
+ * idempotent; what is answered with a promise that it did not run, never ran. Owned by the event
+ * loop.
  */
 final class Exchange {
 
     private static final Logger LOG = LoggerFactory.getLogger(Exchange.class);
+
     /** Servers that could not be reached are not counted as attempts; so many are passed over. */
     private static final int MOST_UNREACHABLE = 4;
+
     /** Time for a server's own answer at the deadline to come here. */
     private static final long DEADLINE_SLACK_MS = 40;
+
     /** With less time than this left nothing is sent again. */
     private static final long LEAST_LEFT_MS = 30;
+
     /** A server with a model that says nothing on any connection for so long is suspected. */
     private static final long SILENCE_MS = 700;
+
     /** Tokens that a server surely reads in a ms: what it has yet to read explains its silence. */
     private static final double SLOWEST_TOKENS_PER_MS = 30;
+
     private static final int MOST_PRIORITY = 9;
     private static final int MOST_WHOLE_BODY = 8 * 1024 * 1024;
 
@@ -77,8 +84,14 @@
     private Optional<String> lastEventId = Optional.empty();
     private boolean concluded;
 
-    Exchange(EdgeContext edge, ClientRequest request, ClientAnswer client, Route route, Tenant tenant,
-            long quotaAmount, long patienceMs) {
+    Exchange(
+            EdgeContext edge,
+            ClientRequest request,
+            ClientAnswer client,
+            Route route,
+            Tenant tenant,
+            long quotaAmount,
+            long patienceMs) {
         this.edge = edge;
         this.request = request;
         this.client = client;
@@ -88,8 +101,12 @@
         backend = edge.state().backendOf(route);
         profile = Headers.profile(request.headers());
         deadlineMs = request.arrivedMs() + Math.min(patienceMs, route.timeoutMs());
-        timer = edge.loop().schedule(this::timeOut,
-            Math.max(0, deadlineMs - edge.now()) + DEADLINE_SLACK_MS, TimeUnit.MILLISECONDS);
+        timer =
+                edge.loop()
+                        .schedule(
+                                this::timeOut,
+                                Math.max(0, deadlineMs - edge.now()) + DEADLINE_SLACK_MS,
+                                TimeUnit.MILLISECONDS);
     }
 
     /** Sends the request for the first time. */
@@ -106,7 +123,8 @@
     private void send() {
         long now = edge.now();
         ServerPool pool = pool();
-        Acquired acquired = pool == null ? new Acquired.Nobody() : pool.acquire(now, profile, tried);
+        Acquired acquired =
+                pool == null ? new Acquired.Nobody() : pool.acquire(now, profile, tried);
         if (!(acquired instanceof Acquired.Granted granted)) {
             nowhere();
             return;
@@ -128,7 +146,11 @@
     }
 
     private void own(Reply reply) {
-        LOG.debug("{} {} ends with {}", request.headers().get(Headers.ATTEMPT_ID), route.name(), reply);
+        LOG.debug(
+                "{} {} ends with {}",
+                request.headers().get(Headers.ATTEMPT_ID),
+                route.name(),
+                reply);
         if (!mayHaveRun && tenant != null) {
             edge.state().quotas().giveBack(edge.now(), tenant, quotaAmount);
         }
@@ -182,8 +204,9 @@
     }
 
     private boolean maySendAgain() {
-        return sends < route.maxAttempts() && deadlineMs - edge.now() > LEAST_LEFT_MS
-            && edge.state().budget(backend).trySpend(edge.now());
+        return sends < route.maxAttempts()
+                && deadlineMs - edge.now() > LEAST_LEFT_MS
+                && edge.state().budget(backend).trySpend(edge.now());
     }
 
     /** The answer of an attempt is missing or broken. */
@@ -207,14 +230,20 @@
         if (tenant != null) {
             headers.set(Headers.TENANT, tenant.name());
         }
-        int priority = tenant != null && tenant.priority() >= 0 ? tenant.priority() : route.priority();
+        int priority =
+                tenant != null && tenant.priority() >= 0 ? tenant.priority() : route.priority();
         headers.set(Headers.PRIORITY, Math.max(0, Math.min(MOST_PRIORITY, priority)));
         headers.set(Headers.DEADLINE, Math.max(1, deadlineMs - now));
         headers.set(Headers.EXPECT_INSTANCE, slot.serverId());
         headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
         lastEventId.ifPresent(id -> headers.set(Headers.LAST_EVENT_ID, id));
-        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
-            request.body().retainedDuplicate(), headers, EmptyHttpHeaders.INSTANCE);
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                request.body().retainedDuplicate(),
+                headers,
+                EmptyHttpHeaders.INSTANCE);
     }
 
     /** One sending to one server. */
@@ -238,7 +267,10 @@
         void start() {
             tried.add(slot.serverId());
             sends++;
-            sending = edge.connections().send(slot.serverId(), slot.address(), message(slot, startedMs), this);
+            edge.announce(backend, slot);
+            sending =
+                    edge.connections()
+                            .send(slot.serverId(), slot.address(), message(slot, startedMs), this);
         }
 
         private void finish(SlotEnd end) {
@@ -294,8 +326,9 @@
                 return;
             }
             pool.answered(now, slot);
-            if (success && (!response.headers().contains(Headers.SEAL)
-                    || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
+            if (success
+                    && (!response.headers().contains(Headers.SEAL)
+                            || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
                 LOG.info("server {} gives an answer that is not its own", slot.serverId());
                 breaks();
                 return;
@@ -362,7 +395,8 @@
         }
 
         private void refused() {
-            boolean misdirected = head.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
+            boolean misdirected =
+                    head.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code();
             finish(misdirected ? SlotEnd.CANCELLED : SlotEnd.REFUSED);
             if (misdirected) {
                 edge.misdirected(slot.serverId());
@@ -412,7 +446,9 @@
             }
         }
 
-        /** Statuses that tell a client that its request has not run, which this server has not said. */
+        /**
+         * Statuses that tell a client that its request has not run, which this server has not said.
+         */
         private static boolean promisesNotRun(int status) {
             return status == 408 || status == 421 || status == 429 || status == 503;
         }
@@ -435,7 +471,10 @@
             boolean notRun = mode == Mode.NOT_RUN;
             finish(SlotEnd.FAILED);
             mayHaveRun |= !notRun;
-            LOG.debug("server {} breaks off {}", slot.serverId(), request.headers().get(Headers.ATTEMPT_ID));
+            LOG.debug(
+                    "server {} breaks off {}",
+                    slot.serverId(),
+                    request.headers().get(Headers.ATTEMPT_ID));
             afterFailure();
         }
     }
--- a/system/src/main/java/poppynotch/router/FleetState.java
+++ b/system/src/main/java/poppynotch/router/FleetState.java
@@ -15,7 +15,10 @@
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.ServerState;
 
-/** What an edge knows of the fleet: the configuration in force, and a pool and a budget for each service. */
+/**
+ * What an edge knows of the fleet: the configuration in force, and a pool and a budget for each
+ * service.
+ */
 final class FleetState {
 
     private final NodeSettings settings;
@@ -74,7 +77,8 @@
         Map<String, List<ServerRecord>> ready = new HashMap<>();
         for (ServerRecord server : servers) {
             if (server.state() == ServerState.READY) {
-                ready.computeIfAbsent(server.backend(), key -> new java.util.ArrayList<>()).add(server);
+                ready.computeIfAbsent(server.backend(), key -> new java.util.ArrayList<>())
+                        .add(server);
             }
         }
         pools.forEach((name, pool) -> pool.update(ready.getOrDefault(name, List.of())));
@@ -99,12 +103,17 @@
     }
 
     RetryBudget budget(String backend) {
-        return budgets.computeIfAbsent(backend, name -> {
-            RetryBudget budget = new RetryBudget(settings.bounds().retryBudgetRatio(),
-                settings.bounds().retryBudgetSlack(), settings.bounds().budgetWindowMs());
-            budget.place(edges, true);
-            return budget;
-        });
+        return budgets.computeIfAbsent(
+                backend,
+                name -> {
+                    RetryBudget budget =
+                            new RetryBudget(
+                                    settings.bounds().retryBudgetRatio(),
+                                    settings.bounds().retryBudgetSlack(),
+                                    settings.bounds().budgetWindowMs());
+                    budget.place(edges, true);
+                    return budget;
+                });
     }
 
     /** The service that a request of a route goes to, drawn by the weights. */
--- a/system/src/main/java/poppynotch/router/Headers.java
+++ b/system/src/main/java/poppynotch/router/Headers.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import poppynotch.pool.CallProfile;
-import poppynotch.pool.PromptPart;
+import poppynotch.wire.PromptPart;
 
 /** Names of headers on the wire, and what is read from them. */
 final class Headers {
@@ -24,14 +24,19 @@
     static final AsciiString PRIORITY = AsciiString.cached("Priority");
     static final AsciiString LAST_EVENT_ID = AsciiString.cached("Last-Event-Id");
 
-    private static final List<AsciiString> OF_ONE_CONNECTION = List.of(HttpHeaderNames.CONNECTION,
-        AsciiString.cached("Keep-Alive"), AsciiString.cached("Proxy-Connection"), HttpHeaderNames.TE,
-        HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE,
-        HttpHeaderNames.EXPECT);
+    private static final List<AsciiString> OF_ONE_CONNECTION =
+            List.of(
+                    HttpHeaderNames.CONNECTION,
+                    AsciiString.cached("Keep-Alive"),
+                    AsciiString.cached("Proxy-Connection"),
+                    HttpHeaderNames.TE,
+                    HttpHeaderNames.TRAILER,
+                    HttpHeaderNames.TRANSFER_ENCODING,
+                    HttpHeaderNames.UPGRADE,
+                    HttpHeaderNames.EXPECT);
     private static final int HEX = 16;
 
-    private Headers() {
-    }
+    private Headers() {}
 
     /** A copy without what concerns one connection only. */
     static HttpHeaders endToEnd(HttpHeaders headers) {
@@ -56,7 +61,9 @@
         try {
             int comma = value.indexOf(',');
             int in = Integer.parseInt((comma < 0 ? value : value.substring(0, comma)).trim());
-            return new int[] {in, comma < 0 ? 0 : Integer.parseInt(value.substring(comma + 1).trim())};
+            return new int[] {
+                in, comma < 0 ? 0 : Integer.parseInt(value.substring(comma + 1).trim())
+            };
         } catch (NumberFormatException e) {
             return null;
         }
@@ -76,15 +83,20 @@
                 int colon = part.indexOf(':');
                 try {
                     int size = Integer.parseInt(part.substring(colon + 1).trim());
-                    parts.add(new PromptPart(Long.parseUnsignedLong(part.substring(0, colon).trim(), HEX), size));
+                    parts.add(
+                            new PromptPart(
+                                    Long.parseUnsignedLong(part.substring(0, colon).trim(), HEX),
+                                    size));
                     sum += size;
                 } catch (NumberFormatException | IndexOutOfBoundsException e) {
                     break;
                 }
             }
         }
-        return new CallProfile(List.copyOf(parts), tokens == null ? sum : Math.max(sum, tokens[0]),
-            tokens == null ? 0 : tokens[1]);
+        return new CallProfile(
+                List.copyOf(parts),
+                tokens == null ? sum : Math.max(sum, tokens[0]),
+                tokens == null ? 0 : tokens[1]);
     }
 
     /** A server's word on its load as running, waiting and slots; null without one. */
@@ -111,7 +123,8 @@
             Map.Entry<String, String> pair = pair(part);
             if (pair.getKey().equals("timeout") || pair.getValue().isEmpty()) {
                 try {
-                    return Long.parseLong(pair.getValue().isEmpty() ? pair.getKey() : pair.getValue());
+                    return Long.parseLong(
+                            pair.getValue().isEmpty() ? pair.getKey() : pair.getValue());
                 } catch (NumberFormatException e) {
                     return -1;
                 }
@@ -122,7 +135,8 @@
 
     private static Map.Entry<String, String> pair(String text) {
         int equals = text.indexOf('=');
-        return equals < 0 ? Map.entry(text.trim(), "")
-            : Map.entry(text.substring(0, equals).trim(), text.substring(equals + 1).trim());
+        return equals < 0
+                ? Map.entry(text.trim(), "")
+                : Map.entry(text.substring(0, equals).trim(), text.substring(equals + 1).trim());
     }
 }
--- a/system/src/main/java/poppynotch/router/ServerDirectory.java
+++ b/system/src/main/java/poppynotch/router/ServerDirectory.java
@@ -11,9 +11,9 @@
 import poppynotch.wire.ServerState;
 
 /**
- * The servers that core processes tell of, merged. A server that drains or has left does so whoever says it.
- * One that is no longer listed is removed only on the word of a core process whose list is complete, and only
- * if no other lists it. It does no I/O.
+ * The servers that core processes tell of, merged. A server that drains or has left does so whoever
+ * says it. One that is no longer listed is removed only on the word of a core process whose list is
+ * complete, and only if no other lists it. It does no I/O.
  */
 final class ServerDirectory {
 
@@ -73,8 +73,10 @@
     }
 
     private static boolean isOlder(ServerRecord before, ServerRecord told) {
-        boolean revives = before.state() == ServerState.DRAINING && told.state() == ServerState.READY;
-        return told.sequence() < before.sequence() || revives && told.sequence() == before.sequence();
+        boolean revives =
+                before.state() == ServerState.DRAINING && told.state() == ServerState.READY;
+        return told.sequence() < before.sequence()
+                || revives && told.sequence() == before.sequence();
     }
 
     /** A server has left, or another one has its address; true if it was known. */
@@ -87,7 +89,8 @@
     }
 
     private boolean removeUnlisted() {
-        return known.keySet().removeIf(
-            id -> listedBy.values().stream().noneMatch(listed -> listed.contains(id)));
+        return known.keySet()
+                .removeIf(
+                        id -> listedBy.values().stream().noneMatch(listed -> listed.contains(id)));
     }
 }
--- a/system/src/main/java/poppynotch/router/UpstreamConnections.java
+++ b/system/src/main/java/poppynotch/router/UpstreamConnections.java
@@ -28,12 +28,19 @@
 import poppynotch.settings.HostPort;
 import poppynotch.transport.StrictResponseDecoder;
 
-/** Connections to servers: one request at a time on each, kept for the next one. Owned by the event loop. */
+/**
+ * Connections to servers: one request at a time on each, kept for the next one. Owned by the event
+ * loop.
+ */
 final class UpstreamConnections {
 
     private static final int CONNECT_MS = 400;
-    /** An idle connection is used only for a part of the time after which the server may close it. */
+
+    /**
+     * An idle connection is used only for a part of the time after which the server may close it.
+     */
     private static final double IDLE_PART = 0.6;
+
     private static final long DEFAULT_IDLE_MS = 4000;
 
     /** A request on its way. */
@@ -53,13 +60,19 @@
     UpstreamConnections(EventLoop loop, LongSupplier clock) {
         this.loop = loop;
         this.clock = clock;
-        bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
+        bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
     }
 
-    /** Sends a request, which is the connection's from now on. Nothing is told before this returns. */
-    Sending send(String serverId, String address, FullHttpRequest request, UpstreamListener listener) {
+    /**
+     * Sends a request, which is the connection's from now on. Nothing is told before this returns.
+     */
+    Sending send(
+            String serverId, String address, FullHttpRequest request, UpstreamListener listener) {
         Connection connection = takeIdle(serverId);
         if (connection == null) {
             connection = new Connection(serverId);
@@ -88,16 +101,18 @@
     /** Closes idle connections to servers other than these, and those that were idle for long. */
     void keepOnly(Set<String> serverIds) {
         long now = clock.getAsLong();
-        idle.entrySet().removeIf(entry -> {
-            boolean keep = serverIds.contains(entry.getKey());
-            for (Connection connection : List.copyOf(entry.getValue())) {
-                if (!keep || now >= connection.idleUntilMs) {
-                    entry.getValue().remove(connection);
-                    connection.channel.close();
-                }
-            }
-            return entry.getValue().isEmpty();
-        });
+        idle.entrySet()
+                .removeIf(
+                        entry -> {
+                            boolean keep = serverIds.contains(entry.getKey());
+                            for (Connection connection : List.copyOf(entry.getValue())) {
+                                if (!keep || now >= connection.idleUntilMs) {
+                                    entry.getValue().remove(connection);
+                                    connection.channel.close();
+                                }
+                            }
+                            return entry.getValue().isEmpty();
+                        });
     }
 
     private final class Connection extends ChannelInboundHandlerAdapter implements Sending {
@@ -107,11 +122,15 @@
         private FullHttpRequest request;
         private UpstreamListener listener;
         private String attemptId;
+
         /** Some of the request has been handed to the network: it may run. */
         private boolean written;
+
         private HttpResponse head;
+
         /** What comes belongs to an earlier request. */
         private boolean surplus;
+
         private long idleUntilMs;
         private long keepMs = DEFAULT_IDLE_MS;
 
@@ -129,18 +148,22 @@
         }
 
         void connect(String address) {
-            ChannelFuture connecting = bootstrap.clone().handler(this)
-                .connect(HostPort.parse(address).socketAddress());
+            ChannelFuture connecting =
+                    bootstrap
+                            .clone()
+                            .handler(this)
+                            .connect(HostPort.parse(address).socketAddress());
             channel = connecting.channel();
-            connecting.addListener(done -> {
-                if (done.isSuccess() && listener != null) {
-                    write();
-                } else {
-                    release();
-                    channel.close();
-                    fail(UpstreamListener.Failure.NOT_SENT);
-                }
-            });
+            connecting.addListener(
+                    done -> {
+                        if (done.isSuccess() && listener != null) {
+                            write();
+                        } else {
+                            release();
+                            channel.close();
+                            fail(UpstreamListener.Failure.NOT_SENT);
+                        }
+                    });
         }
 
         private void release() {
@@ -162,11 +185,13 @@
             request = null;
             written = true;
             channel.config().setAutoRead(true);
-            channel.writeAndFlush(sent).addListener(done -> {
-                if (!done.isSuccess()) {
-                    channel.close();
-                }
-            });
+            channel.writeAndFlush(sent)
+                    .addListener(
+                            done -> {
+                                if (!done.isSuccess()) {
+                                    channel.close();
+                                }
+                            });
         }
 
         @Override
@@ -243,7 +268,10 @@
             UpstreamListener told = listener;
             boolean framed = isFramed(ended);
             listener = null;
-            if (framed && HttpUtil.isKeepAlive(ended) && !decoder.holdsMore() && channel.isActive()) {
+            if (framed
+                    && HttpUtil.isKeepAlive(ended)
+                    && !decoder.holdsMore()
+                    && channel.isActive()) {
                 keep();
             } else {
                 channel.close();
@@ -255,11 +283,15 @@
             }
         }
 
-        /** Whether the answer says where it ends: one that ends with its connection may not be whole. */
+        /**
+         * Whether the answer says where it ends: one that ends with its connection may not be
+         * whole.
+         */
         private static boolean isFramed(HttpResponse response) {
             return HttpUtil.isTransferEncodingChunked(response)
-                || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                || response.status().code() == 204 || response.status().code() == 304;
+                    || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                    || response.status().code() == 204
+                    || response.status().code() == 304;
         }
 
         private void keep() {
--- a/system/src/main/java/poppynotch/router/UpstreamListener.java
+++ b/system/src/main/java/poppynotch/router/UpstreamListener.java
@@ -3,7 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** Hears what becomes of one request at a server. Nothing is told after the end, or after a cancel. */
+/**
+ * Hears what becomes of one request at a server. Nothing is told after the end, or after a cancel.
+ */
 interface UpstreamListener {
 
     /** How sending a request ended without a whole answer. */
--- a/system/src/main/java/poppynotch/settings/Bounds.java
+++ b/system/src/main/java/poppynotch/settings/Bounds.java
@@ -7,7 +7,14 @@
  * @param retryBudgetSlack repeats allowed besides, over all edges, in each window
  * @param quotaSlackTokens tokens that all edges together may pass a quota by
  */
-public record Bounds(long contactMs, long ackMs, long drainMs, long graceMs, long configMs,
-        double retryBudgetRatio, double retryBudgetSlack, long budgetWindowMs, double quotaSlackTokens,
-        long quotaWindowMs) {
-}
+public record Bounds(
+        long contactMs,
+        long ackMs,
+        long drainMs,
+        long graceMs,
+        long configMs,
+        double retryBudgetRatio,
+        double retryBudgetSlack,
+        long budgetWindowMs,
+        double quotaSlackTokens,
+        long quotaWindowMs) {}
--- a/system/src/main/java/poppynotch/settings/NodeSettings.java
+++ b/system/src/main/java/poppynotch/settings/NodeSettings.java
@@ -15,16 +15,29 @@
  * @param front where clients connect; empty for a role that serves none
  * @param readiness where the platform asks whether the process is ready
  * @param control where servers and operators connect
- * @param peerPort the port on which core processes talk to each other and to edges, the same on all machines
+ * @param peerPort the port on which core processes talk to each other and to edges, the same on all
+ *     machines
  * @param seeds control addresses of a few core processes
  * @param bootstrap the whole system starts for the first time
  * @param dataDir where state is kept; empty on a machine without a disk
  * @param toleratedMachines core machines that may be lost at once
  */
-public record NodeSettings(String name, String ip, String zone, Optional<HostPort> front,
-        Optional<HostPort> readiness, Optional<HostPort> control, int peerPort, List<HostPort> seeds,
-        boolean bootstrap, Optional<Path> dataDir, long heartbeatMs, int maxDescriptors, int memoryMb,
-        int toleratedMachines, Bounds bounds) {
+public record NodeSettings(
+        String name,
+        String ip,
+        String zone,
+        Optional<HostPort> front,
+        Optional<HostPort> readiness,
+        Optional<HostPort> control,
+        int peerPort,
+        List<HostPort> seeds,
+        boolean bootstrap,
+        Optional<Path> dataDir,
+        long heartbeatMs,
+        int maxDescriptors,
+        int memoryMb,
+        int toleratedMachines,
+        Bounds bounds) {
 
     /** The variable that names the settings file. */
     public static final String FILE_VARIABLE = "POPPYNOTCH_SETTINGS";
@@ -48,8 +61,12 @@
         try {
             return new SettingsResult.Good(from(new TomlParser().parse(toml)));
         } catch (ParsingException | IllegalArgumentException | ClassCastException e) {
-            return new SettingsResult.Bad("bad settings: " + String.valueOf(e.getMessage()).lines()
-                .findFirst().orElse("unreadable"));
+            return new SettingsResult.Bad(
+                    "bad settings: "
+                            + String.valueOf(e.getMessage())
+                                    .lines()
+                                    .findFirst()
+                                    .orElse("unreadable"));
         }
     }
 
@@ -59,25 +76,38 @@
             throw new IllegalArgumentException("EphemeralPorts is empty");
         }
         List<String> seeds = required(config, "Seeds");
-        return new NodeSettings(required(config, "NodeName"), required(config, "Ip"), text(config, "Zone", ""),
-            address(config, "Bind.Front"), address(config, "Bind.Readiness"), address(config, "Bind.Control"),
-            ports.get(0).intValue(), seeds.stream().map(HostPort::parse).toList(),
-            Boolean.TRUE.equals(config.get("Bootstrap")),
-            Optional.ofNullable(config.<String>get("DataDir")).filter(path -> !path.isEmpty()).map(Path::of),
-            (long) number(config, "HeartbeatMs", DEFAULT_HEARTBEAT_MS),
-            (int) number(config, "Limits.MaxFds", DEFAULT_DESCRIPTORS),
-            (int) number(config, "Limits.MemoryMb", DEFAULT_MEMORY_MB),
-            (int) number(config, "FaultTolerance.Machines", 1), bounds(config));
+        return new NodeSettings(
+                required(config, "NodeName"),
+                required(config, "Ip"),
+                text(config, "Zone", ""),
+                address(config, "Bind.Front"),
+                address(config, "Bind.Readiness"),
+                address(config, "Bind.Control"),
+                ports.get(0).intValue(),
+                seeds.stream().map(HostPort::parse).toList(),
+                Boolean.TRUE.equals(config.get("Bootstrap")),
+                Optional.ofNullable(config.<String>get("DataDir"))
+                        .filter(path -> !path.isEmpty())
+                        .map(Path::of),
+                (long) number(config, "HeartbeatMs", DEFAULT_HEARTBEAT_MS),
+                (int) number(config, "Limits.MaxFds", DEFAULT_DESCRIPTORS),
+                (int) number(config, "Limits.MemoryMb", DEFAULT_MEMORY_MB),
+                (int) number(config, "FaultTolerance.Machines", 1),
+                bounds(config));
     }
 
     private static Bounds bounds(Config config) {
-        return new Bounds((long) number(config, "Bounds.ContactMs", 3000),
-            (long) number(config, "Bounds.AckMs", 4000), (long) number(config, "Bounds.DrainMs", 2000),
-            (long) (number(config, "Bounds.GraceS", 8) * MS), (long) number(config, "Bounds.ConfigMs", 2000),
-            number(config, "Bounds.RetryBudgetRatio", 0.2), number(config, "Bounds.BudgetSlack", 10),
-            (long) (number(config, "Bounds.BudgetWindowS", 10) * MS),
-            number(config, "Bounds.QuotaSlack", 0),
-            (long) (number(config, "Bounds.QuotaWindowS", 8) * MS));
+        return new Bounds(
+                (long) number(config, "Bounds.ContactMs", 3000),
+                (long) number(config, "Bounds.AckMs", 4000),
+                (long) number(config, "Bounds.DrainMs", 2000),
+                (long) (number(config, "Bounds.GraceS", 8) * MS),
+                (long) number(config, "Bounds.ConfigMs", 2000),
+                number(config, "Bounds.RetryBudgetRatio", 0.2),
+                number(config, "Bounds.BudgetSlack", 10),
+                (long) (number(config, "Bounds.BudgetWindowS", 10) * MS),
+                number(config, "Bounds.QuotaSlack", 0),
+                (long) (number(config, "Bounds.QuotaWindowS", 8) * MS));
     }
 
     private static <T> T required(Config config, String key) {
@@ -100,6 +130,8 @@
 
     private static Optional<HostPort> address(Config config, String key) {
         String value = config.get(key);
-        return value == null || value.isEmpty() ? Optional.empty() : Optional.of(HostPort.parse(value));
+        return value == null || value.isEmpty()
+                ? Optional.empty()
+                : Optional.of(HostPort.parse(value));
     }
 }
