--- a/system/src/main/java/poppynotch/wire/Message.java
+++ b/system/src/main/java/poppynotch/wire/Message.java
@@ -10,8 +10,7 @@
 public sealed interface Message {
 
     /** The first message on a connection between core processes. */
-    record Hello(String sender, long incarnation) implements Message {
-    }
+    record Hello(String sender, long incarnation) implements Message {}
 
     /**
      * A core process's heartbeat to another.
@@ -26,57 +25,65 @@
      * @param heard registrations since the last heartbeat that changed nothing
      * @param registryDigest differs where registries differ
      */
-    record CoreBeat(long sequence, long revision, Ballot chosen, Ballot accepted, Ballot promised,
-            AcceptorSet acceptors, boolean registryComplete, long registryDigest, List<String> cores,
-            List<Heard> heard, List<EdgeLease> edges) implements Message {
-    }
+    record CoreBeat(
+            long sequence,
+            long revision,
+            Ballot chosen,
+            Ballot accepted,
+            Ballot promised,
+            AcceptorSet acceptors,
+            boolean registryComplete,
+            long registryDigest,
+            List<String> cores,
+            List<Heard> heard,
+            List<EdgeLease> edges)
+            implements Message {}
 
     /** A registration of a known server. */
-    record Heard(String id, long sequence) {
-    }
+    record Heard(String id, long sequence) {}
 
     /** The answer to a heartbeat. */
-    record BeatEcho(long sequence) implements Message {
-    }
+    record BeatEcho(long sequence) implements Message {}
 
     /** A vote for the register, or a question for one. */
-    record RegisterVote(Vote vote) implements Message {
-    }
+    record RegisterVote(Vote vote) implements Message {}
 
     /** A chosen value. */
-    record Learn(Ballot ballot, RegisterValue value) implements Message {
-    }
+    record Learn(Ballot ballot, RegisterValue value) implements Message {}
 
     /** Asks for the newest chosen value. */
-    record FetchValue() implements Message {
-    }
+    record FetchValue() implements Message {}
 
     /** Changes of the registry; {@code request} is acknowledged unless it is 0. */
-    record ServersChanged(long request, List<ServerRecord> servers) implements Message {
-    }
+    record ServersChanged(long request, List<ServerRecord> servers) implements Message {}
 
     /** The receiver holds the changes of that request. */
-    record ServersHeld(long request) implements Message {
-    }
+    record ServersHeld(long request) implements Message {}
 
     /** Asks for the whole registry. */
-    record FetchRegistry() implements Message {
-    }
+    record FetchRegistry() implements Message {}
 
     /** The whole registry of a core process. */
-    record RegistrySnapshot(boolean complete, List<ServerRecord> servers) implements Message {
-    }
+    record RegistrySnapshot(boolean complete, List<ServerRecord> servers) implements Message {}
 
     /**
      * An edge's long poll, which renews its lease.
      *
      * @param revision of the configuration in force at the edge; -1 for none
      * @param coreIncarnation the core life that {@code registryVersion} belongs to
+     * @param address where the edge takes other edges' datagrams, as {@code HOST:PORT}
      * @param usage what tenants have used at this edge since its start, where it has changed
      */
-    record Poll(String edge, long incarnation, long poll, long revision, long coreIncarnation,
-            long registryVersion, List<Usage> usage) implements Message {
-    }
+    record Poll(
+            String edge,
+            long incarnation,
+            String address,
+            long poll,
+            long revision,
+            long coreIncarnation,
+            long registryVersion,
+            List<Usage> usage)
+            implements Message {}
 
     /**
      * The answer to a long poll.
@@ -86,11 +93,32 @@
      * @param wholeRegistry the servers are all that are known, not changes
      * @param registryComplete the core process surely knows all servers
      * @param edges how many edges hold a lease, and {@code number} which of them this one is
-     * @param usage what tenants have used at all edges, as the core process has counted since its start
+     * @param usage what tenants have used at all edges, as the core process has counted since its
+     *     start
+     * @param edgeAddresses where all edges take datagrams; empty where that has not changed
      */
-    record PollReply(long poll, long coreIncarnation, int quorumAgeMs, RegisterValue value,
-            boolean wholeRegistry, boolean registryComplete, long registryVersion,
-            List<ServerRecord> servers, int edges, int number, List<Usage> usage, List<String> cores)
-            implements Message {
-    }
+    record PollReply(
+            long poll,
+            long coreIncarnation,
+            int quorumAgeMs,
+            RegisterValue value,
+            boolean wholeRegistry,
+            boolean registryComplete,
+            long registryVersion,
+            List<ServerRecord> servers,
+            int edges,
+            int number,
+            List<Usage> usage,
+            List<String> cores,
+            List<String> edgeAddresses)
+            implements Message {}
+
+    /**
+     * An edge's word to the others, by datagram, that it sends a prompt to a server. It may be
+     * lost.
+     *
+     * @param freshTokens of the prompt that the server is taken to read anew
+     */
+    record PromptSent(String serverId, String backend, int freshTokens, List<PromptPart> parts)
+            implements Message {}
 }
--- a/system/src/main/java/poppynotch/wire/MessageCodec.java
+++ b/system/src/main/java/poppynotch/wire/MessageCodec.java
@@ -29,6 +29,7 @@
     private static final byte REGISTRY_SNAPSHOT = 10;
     private static final byte POLL = 11;
     private static final byte POLL_REPLY = 12;
+    private static final byte PROMPT_SENT = 13;
 
     private static final byte PREPARE = 1;
     private static final byte PROMISE = 2;
@@ -47,8 +48,7 @@
         T read(DataInputStream in) throws IOException;
     }
 
-    private MessageCodec() {
-    }
+    private MessageCodec() {}
 
     /** One record, without its length. */
     public static byte[] encode(Message message) {
@@ -72,15 +72,31 @@
             case REGISTER_VOTE -> new Message.RegisterVote(readVote(in));
             case LEARN -> new Message.Learn(ValueCodec.readBallot(in), ValueCodec.readValue(in));
             case FETCH_VALUE -> new Message.FetchValue();
-            case SERVERS_CHANGED -> new Message.ServersChanged(in.readLong(),
-                readList(in, MessageCodec::readServer));
+            case SERVERS_CHANGED ->
+                    new Message.ServersChanged(
+                            in.readLong(), readList(in, MessageCodec::readServer));
             case SERVERS_HELD -> new Message.ServersHeld(in.readLong());
             case FETCH_REGISTRY -> new Message.FetchRegistry();
-            case REGISTRY_SNAPSHOT -> new Message.RegistrySnapshot(in.readBoolean(),
-                readList(in, MessageCodec::readServer));
-            case POLL -> new Message.Poll(in.readUTF(), in.readLong(), in.readLong(), in.readLong(),
-                in.readLong(), in.readLong(), readList(in, MessageCodec::readUsage));
+            case REGISTRY_SNAPSHOT ->
+                    new Message.RegistrySnapshot(
+                            in.readBoolean(), readList(in, MessageCodec::readServer));
+            case POLL ->
+                    new Message.Poll(
+                            in.readUTF(),
+                            in.readLong(),
+                            in.readUTF(),
+                            in.readLong(),
+                            in.readLong(),
+                            in.readLong(),
+                            in.readLong(),
+                            readList(in, MessageCodec::readUsage));
             case POLL_REPLY -> readReply(in);
+            case PROMPT_SENT ->
+                    new Message.PromptSent(
+                            in.readUTF(),
+                            in.readUTF(),
+                            in.readInt(),
+                            readList(in, from -> new PromptPart(from.readLong(), from.readInt())));
             default -> throw new IOException("a message of kind " + kind);
         };
     }
@@ -110,7 +126,8 @@
         }
     }
 
-    private static void writeRegistryOrPoll(DataOutputStream out, Message message) throws IOException {
+    private static void writeRegistryOrPoll(DataOutputStream out, Message message)
+            throws IOException {
         if (message instanceof Message.ServersChanged changed) {
             out.writeByte(SERVERS_CHANGED);
             out.writeLong(changed.request());
@@ -128,6 +145,7 @@
             out.writeByte(POLL);
             out.writeUTF(poll.edge());
             out.writeLong(poll.incarnation());
+            out.writeUTF(poll.address());
             out.writeLong(poll.poll());
             out.writeLong(poll.revision());
             out.writeLong(poll.coreIncarnation());
@@ -136,6 +154,18 @@
         } else if (message instanceof Message.PollReply reply) {
             out.writeByte(POLL_REPLY);
             writeReply(out, reply);
+        } else if (message instanceof Message.PromptSent sent) {
+            out.writeByte(PROMPT_SENT);
+            out.writeUTF(sent.serverId());
+            out.writeUTF(sent.backend());
+            out.writeInt(sent.freshTokens());
+            writeList(
+                    out,
+                    sent.parts(),
+                    (to, part) -> {
+                        to.writeLong(part.id());
+                        to.writeInt(part.tokens());
+                    });
         }
     }
 
@@ -150,29 +180,50 @@
         out.writeBoolean(beat.registryComplete());
         out.writeLong(beat.registryDigest());
         ValueCodec.writeStrings(out, beat.cores());
-        writeList(out, beat.heard(), (to, heard) -> {
-            to.writeUTF(heard.id());
-            to.writeLong(heard.sequence());
-        });
-        writeList(out, beat.edges(), (to, edge) -> {
-            to.writeUTF(edge.name());
-            to.writeLong(edge.incarnation());
-            to.writeInt(edge.ageMs());
-            writeList(to, edge.usage(), MessageCodec::writeUsage);
-        });
+        writeList(
+                out,
+                beat.heard(),
+                (to, heard) -> {
+                    to.writeUTF(heard.id());
+                    to.writeLong(heard.sequence());
+                });
+        writeList(
+                out,
+                beat.edges(),
+                (to, edge) -> {
+                    to.writeUTF(edge.name());
+                    to.writeLong(edge.incarnation());
+                    to.writeUTF(edge.address());
+                    to.writeInt(edge.ageMs());
+                    writeList(to, edge.usage(), MessageCodec::writeUsage);
+                });
     }
 
     private static Message readBeat(DataInputStream in) throws IOException {
-        return new Message.CoreBeat(in.readLong(), in.readLong(), ValueCodec.readBallot(in),
-            ValueCodec.readBallot(in), ValueCodec.readBallot(in),
-            new AcceptorSet(ValueCodec.readStrings(in), ValueCodec.readStrings(in)), in.readBoolean(),
-            in.readLong(), ValueCodec.readStrings(in),
-            readList(in, from -> new Message.Heard(from.readUTF(), from.readLong())),
-            readList(in, from -> new EdgeLease(from.readUTF(), from.readLong(), from.readInt(),
-                readList(from, MessageCodec::readUsage))));
+        return new Message.CoreBeat(
+                in.readLong(),
+                in.readLong(),
+                ValueCodec.readBallot(in),
+                ValueCodec.readBallot(in),
+                ValueCodec.readBallot(in),
+                new AcceptorSet(ValueCodec.readStrings(in), ValueCodec.readStrings(in)),
+                in.readBoolean(),
+                in.readLong(),
+                ValueCodec.readStrings(in),
+                readList(in, from -> new Message.Heard(from.readUTF(), from.readLong())),
+                readList(
+                        in,
+                        from ->
+                                new EdgeLease(
+                                        from.readUTF(),
+                                        from.readLong(),
+                                        from.readUTF(),
+                                        from.readInt(),
+                                        readList(from, MessageCodec::readUsage))));
     }
 
-    private static void writeReply(DataOutputStream out, Message.PollReply reply) throws IOException {
+    private static void writeReply(DataOutputStream out, Message.PollReply reply)
+            throws IOException {
         out.writeLong(reply.poll());
         out.writeLong(reply.coreIncarnation());
         out.writeInt(reply.quorumAgeMs());
@@ -188,6 +239,7 @@
         out.writeInt(reply.number());
         writeList(out, reply.usage(), MessageCodec::writeUsage);
         ValueCodec.writeStrings(out, reply.cores());
+        ValueCodec.writeStrings(out, reply.edgeAddresses());
     }
 
     private static Message readReply(DataInputStream in) throws IOException {
@@ -195,9 +247,20 @@
         long incarnation = in.readLong();
         int quorumAgeMs = in.readInt();
         RegisterValue value = in.readBoolean() ? ValueCodec.readValue(in) : null;
-        return new Message.PollReply(poll, incarnation, quorumAgeMs, value, in.readBoolean(),
-            in.readBoolean(), in.readLong(), readList(in, MessageCodec::readServer), in.readInt(),
-            in.readInt(), readList(in, MessageCodec::readUsage), ValueCodec.readStrings(in));
+        return new Message.PollReply(
+                poll,
+                incarnation,
+                quorumAgeMs,
+                value,
+                in.readBoolean(),
+                in.readBoolean(),
+                in.readLong(),
+                readList(in, MessageCodec::readServer),
+                in.readInt(),
+                in.readInt(),
+                readList(in, MessageCodec::readUsage),
+                ValueCodec.readStrings(in),
+                ValueCodec.readStrings(in));
     }
 
     private static void writeVote(DataOutputStream out, Vote vote) throws IOException {
@@ -228,7 +291,8 @@
         Ballot ballot = ValueCodec.readBallot(in);
         return switch (kind) {
             case PREPARE -> new Vote.Prepare(ballot);
-            case PROMISE -> new Vote.Promise(ballot, ValueCodec.readBallot(in), ValueCodec.readValue(in));
+            case PROMISE ->
+                    new Vote.Promise(ballot, ValueCodec.readBallot(in), ValueCodec.readValue(in));
             case ACCEPT -> new Vote.Accept(ballot, ValueCodec.readValue(in));
             case ACCEPTED -> new Vote.Accepted(ballot);
             case REJECTED -> new Vote.Rejected(ballot, ValueCodec.readBallot(in));
@@ -256,7 +320,8 @@
         if (state < 0 || state >= ServerState.values().length) {
             throw new IOException("a server in state " + state);
         }
-        return new ServerRecord(id, backend, address, zone, slots, ServerState.values()[state], in.readLong());
+        return new ServerRecord(
+                id, backend, address, zone, slots, ServerState.values()[state], in.readLong());
     }
 
     private static void writeUsage(DataOutputStream out, Usage usage) throws IOException {
--- a/system/src/main/java/poppynotch/wire/RecordChannel.java
+++ b/system/src/main/java/poppynotch/wire/RecordChannel.java
@@ -24,35 +24,37 @@
         void received(Channel from, Message message);
 
         /** The connection has ended. */
-        default void closed(Channel channel) {
-        }
+        default void closed(Channel channel) {}
     }
 
-    private RecordChannel() {
-    }
+    private RecordChannel() {}
 
     /** Lets a connection's records be read; damaged ones close it. */
     public static void install(ChannelPipeline pipeline, Receiver receiver) {
-        pipeline.addLast(new LengthFieldBasedFrameDecoder(MOST_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
-        pipeline.addLast(new SimpleChannelInboundHandler<ByteBuf>() {
-            @Override
-            protected void channelRead0(ChannelHandlerContext ctx, ByteBuf record) throws IOException {
-                receiver.received(ctx.channel(), MessageCodec.decode(ByteBufUtil.getBytes(record)));
-            }
+        pipeline.addLast(
+                new LengthFieldBasedFrameDecoder(MOST_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+        pipeline.addLast(
+                new SimpleChannelInboundHandler<ByteBuf>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf record)
+                            throws IOException {
+                        receiver.received(
+                                ctx.channel(), MessageCodec.decode(ByteBufUtil.getBytes(record)));
+                    }
 
-            @Override
-            public void channelInactive(ChannelHandlerContext ctx) {
-                receiver.closed(ctx.channel());
-            }
+                    @Override
+                    public void channelInactive(ChannelHandlerContext ctx) {
+                        receiver.closed(ctx.channel());
+                    }
 
-            @Override
-            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                if (!(cause instanceof IOException)) {
-                    LOG.warn("a connection between processes ends", cause);
-                }
-                ctx.close();
-            }
-        });
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        if (!(cause instanceof IOException)) {
+                            LOG.warn("a connection between processes ends", cause);
+                        }
+                        ctx.close();
+                    }
+                });
     }
 
     /** Sends a message. */
--- a/system/src/main/java/poppynotch/wire/ServerRecord.java
+++ b/system/src/main/java/poppynotch/wire/ServerRecord.java
@@ -9,8 +9,14 @@
  * @param slots requests it works on at once
  * @param sequence grows with each of its registrations
  */
-public record ServerRecord(String id, String backend, String address, String zone, int slots,
-        ServerState state, long sequence) {
+public record ServerRecord(
+        String id,
+        String backend,
+        String address,
+        String zone,
+        int slots,
+        ServerState state,
+        long sequence) {
 
     /** The same server in another state. */
     public ServerRecord as(ServerState other) {
--- a/system/src/main/java/poppynotch/wire/Usage.java
+++ b/system/src/main/java/poppynotch/wire/Usage.java
@@ -3,7 +3,7 @@
 /**
  * What a tenant has used so far.
  *
- * @param amount tokens or requests, as the tenant's quota counts, since the counting process started
+ * @param amount tokens or requests, as the tenant's quota counts, since the counting process
+ *     started
  */
-public record Usage(String tenant, long amount) {
-}
+public record Usage(String tenant, long amount) {}
--- /dev/null
+++ b/system/src/test/java/poppynotch/config/ConfigReaderTest.java
@@ -0,0 +1,110 @@
+package poppynotch.config;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+class ConfigReaderTest {
+
+    private static final String GOOD =
+            """
+        {"Generation":7,"Routes":[
+        {"Name":"r1","Authority":"A.example","PathPrefix":"/p/","RouteType":"streaming","TimeoutMs":5000,
+         "Priority":1,"Backend":"m","MaxAttempts":2,"StreamResume":true,"Unknown":[1]},
+        {"Name":"r2","Authority":"a.example","PathPrefix":"/p/q/","RouteType":"unsafe","TimeoutMs":900,
+         "WeightedBackends":[{"Backend":"m","Weight":90},{"Backend":"w","Weight":10}]}],
+        "Backends":[{"Name":"m","Engine":{"Slots":64,"KvTokens":1000}},{"Name":"w"}],
+        "Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Unit":"tokens","PlainTokens":200,
+         "RatePerS":5,"Burst":9}]}
+        """;
+
+    private static ConfigResult read(String json) {
+        return ConfigReader.read(json.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static FleetConfig good(String json) {
+        return ((ConfigResult.Valid) read(json)).config();
+    }
+
+    @Test
+    void theLongestPrefixWins() {
+        FleetConfig config = good(GOOD);
+        assertThat(config.route("a.example", "/p/x").orElseThrow().name()).isEqualTo("r1");
+        assertThat(config.route("a.example", "/p/q/x").orElseThrow().name()).isEqualTo("r2");
+        assertThat(config.route("a.example", "/other").isPresent()).isFalse();
+        assertThat(config.route("b.example", "/p/x").isPresent()).isFalse();
+    }
+
+    @Test
+    void keysAndServicesAreFound() {
+        FleetConfig config = good(GOOD);
+        assertThat(config.tenantOfKey("k2").orElseThrow().name()).isEqualTo("t");
+        assertThat(config.tenantOfKey("k3").isPresent()).isFalse();
+        assertThat(config.backends().get("m").hasEngine()).isTrue();
+        assertThat(config.backends().get("w").hasEngine()).isFalse();
+    }
+
+    private static void refused(String from, String to) {
+        String json = GOOD.replace(from, to);
+        assertWithMessage(from).that(json).isNotEqualTo(GOOD);
+        ConfigResult result = read(json);
+        assertWithMessage(to).that(result).isInstanceOf(ConfigResult.Invalid.class);
+        assertThat(((ConfigResult.Invalid) result).reason().lines().count()).isEqualTo(1);
+    }
+
+    @Test
+    void whatIsInvalidIsRefusedWithOneLine() {
+        refused("\"Backend\":\"m\",\"MaxAttempts\"", "\"Backend\":\"none\",\"MaxAttempts\"");
+        refused("/p/q/", "/p/");
+        refused(
+                "\"Weight\":90},{\"Backend\":\"w\",\"Weight\":10}",
+                "\"Weight\":0},{\"Backend\":\"w\",\"Weight\":0}");
+        refused("\"TimeoutMs\":900", "\"TimeoutMs\":0");
+        refused("\"Generation\":7", "\"Generation\":\"seven\"");
+        refused("\"Generation\":7,", "");
+        refused(
+                "{\"Name\":\"t\",\"ApiKeys\":[\"k1\",\"k2\"]",
+                "{\"Name\":\"u\",\"ApiKeys\":[\"k1\"]},{\"Name\":\"t\",\"ApiKeys\":[\"k1\",\"k2\"]");
+        refused("\"Burst\":9}]}", "\"Burst\":9");
+        refused("\"RouteType\":\"unsafe\"", "\"RouteType\":\"often\"");
+    }
+
+    @Test
+    void aPatchAddsReplacesAndRemovesByName() {
+        ConfigResult.Valid before = (ConfigResult.Valid) read(GOOD);
+        String patch =
+                """
+            {"Generation":9,"Upsert":{"Routes":[{"Name":"r1","Authority":"a.example","PathPrefix":"/n/",
+            "RouteType":"safe","TimeoutMs":70,"Backend":"w"}]},"Remove":{"Routes":["r2"]}}
+            """;
+        ConfigResult after =
+                ConfigPatch.apply(
+                        before.document(),
+                        ConfigReader.parse(patch.getBytes(StandardCharsets.UTF_8)));
+        FleetConfig config = ((ConfigResult.Valid) after).config();
+        assertThat(config.generation()).isEqualTo(9);
+        assertThat(config.routes()).hasSize(1);
+        assertThat(config.routes().get(0).timeoutMs()).isEqualTo(70);
+        assertThat(config.tenants()).hasSize(1);
+    }
+
+    @Test
+    void aPatchThatRemovesAServiceInUseIsInvalid() {
+        ConfigResult.Valid before = (ConfigResult.Valid) read(GOOD);
+        String patch = "{\"Generation\":9,\"Remove\":{\"Backends\":[\"w\"]}}";
+        assertThat(
+                        ConfigPatch.apply(
+                                before.document(),
+                                ConfigReader.parse(patch.getBytes(StandardCharsets.UTF_8))))
+                .isInstanceOf(ConfigResult.Invalid.class);
+    }
+
+    @Test
+    void aDocumentComesBackAsItWas() {
+        ConfigResult.Valid valid = (ConfigResult.Valid) read(GOOD);
+        byte[] json = DocumentCodec.decode(DocumentCodec.encode(valid.document()));
+        assertThat(ConfigReader.parse(json)).isEqualTo(valid.document());
+    }
+}
--- /dev/null
+++ b/system/src/test/java/poppynotch/control/ServerRegistryTest.java
@@ -0,0 +1,75 @@
+package poppynotch.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+import poppynotch.wire.ServerRecord;
+import poppynotch.wire.ServerState;
+
+class ServerRegistryTest {
+
+    private static final long HEARTBEAT_MS = 1000;
+    private final ServerRegistry registry = new ServerRegistry(0, HEARTBEAT_MS);
+
+    private static ServerRecord server(String id, ServerState state, long sequence) {
+        return new ServerRecord(id, "s", "10.0.0.1:80", "z", 4, state, sequence);
+    }
+
+    @Test
+    void aHeartbeatThatChangesNothingIsNoNews() {
+        assertThat(registry.apply(0, server("a", ServerState.READY, 1))).isTrue();
+        assertThat(registry.apply(1000, server("a", ServerState.READY, 2))).isFalse();
+        assertThat(registry.drainHeard()).hasSize(1);
+        assertThat(registry.drainHeard()).isEmpty();
+    }
+
+    @Test
+    void aLateHeartbeatDoesNotBringBackWhatDrainsOrHasLeft() {
+        registry.apply(0, server("a", ServerState.READY, 1));
+        registry.apply(10, server("a", ServerState.DRAINING, 3));
+        assertThat(registry.apply(20, server("a", ServerState.READY, 2))).isFalse();
+        registry.leave(30, "a");
+        assertThat(registry.apply(40, server("a", ServerState.READY, 9))).isFalse();
+        assertThat(registry.living()).isEmpty();
+    }
+
+    @Test
+    void aSilentServerExpiresAndComesBackWithItsNextHeartbeat() {
+        registry.apply(0, server("a", ServerState.READY, 1));
+        assertThat(registry.tick(4000)).isFalse();
+        assertThat(registry.tick(4400)).isTrue();
+        assertThat(registry.living()).isEmpty();
+        assertThat(registry.apply(4500, server("a", ServerState.READY, 2))).isTrue();
+        assertThat(registry.living()).hasSize(1);
+    }
+
+    @Test
+    void heartbeatsHeardElsewhereKeepALease() {
+        registry.apply(0, server("a", ServerState.READY, 1));
+        registry.heard(3000, "a", 4);
+        assertThat(registry.tick(5000)).isFalse();
+    }
+
+    @Test
+    void itIsCompleteOnlyAfterAllHaveHadTimeToRegister() {
+        assertThat(registry.isComplete(1500)).isFalse();
+        assertThat(registry.isComplete(2300)).isTrue();
+        registry.restart(10_000);
+        assertThat(registry.isComplete(10_500)).isFalse();
+        registry.markComplete(10_600);
+        assertThat(registry.isComplete(10_600)).isTrue();
+    }
+
+    @Test
+    void changesAfterAVersionAndDigests() {
+        registry.apply(0, server("a", ServerState.READY, 1));
+        long version = registry.version();
+        registry.apply(1, server("b", ServerState.READY, 1));
+        assertThat(registry.changesSince(version))
+                .containsExactly(server("b", ServerState.READY, 1));
+        ServerRegistry other = new ServerRegistry(0, HEARTBEAT_MS);
+        assertThat(other.digest()).isNotEqualTo(registry.digest());
+        registry.all().forEach(server -> other.apply(2, server));
+        assertThat(other.digest()).isEqualTo(registry.digest());
+    }
+}
--- /dev/null
+++ b/system/src/test/java/poppynotch/pool/RetryBudgetTest.java
@@ -0,0 +1,48 @@
+package poppynotch.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class RetryBudgetTest {
+
+    /**
+     * Six sidecars whose every request fails: in each window repeats stay below the rule's bound.
+     */
+    @Test
+    void sidecarsTogetherKeepTheBound() {
+        List<RetryBudget> budgets = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            RetryBudget budget = new RetryBudget(0.2, 52, 10_000);
+            budget.place(6, true);
+            budgets.add(budget);
+        }
+        List<Long> firsts = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        for (long now = 0; now < 40_000; now += 10) {
+            RetryBudget budget = budgets.get((int) (now / 10 % 6));
+            budget.firstSend();
+            firsts.add(now);
+            while (budget.trySpend(now)) {
+                repeats.add(now);
+            }
+        }
+        for (long start = 0; start < 30_000; start += 500) {
+            long from = start;
+            long requests = firsts.stream().filter(at -> at >= from && at < from + 10_000).count();
+            long repeated = repeats.stream().filter(at -> at >= from && at < from + 10_000).count();
+            assertThat((double) repeated).isAtMost(0.2 * requests + 52);
+        }
+    }
+
+    @Test
+    void withoutRequestsSomeRepeatsAreLeft() {
+        RetryBudget budget = new RetryBudget(0.2, 52, 10_000);
+        budget.place(6, true);
+        assertThat(budget.trySpend(0)).isTrue();
+        assertThat(budget.trySpend(0)).isFalse();
+        assertThat(budget.trySpend(10_000)).isTrue();
+    }
+}
--- /dev/null
+++ b/system/src/test/java/poppynotch/pool/ServerPoolTest.java
@@ -0,0 +1,137 @@
+package poppynotch.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import poppynotch.config.Backend;
+import poppynotch.wire.PromptPart;
+import poppynotch.wire.ServerRecord;
+import poppynotch.wire.ServerState;
+
+class ServerPoolTest {
+
+    private static final Backend PLAIN = new Backend("s", 96, 0, 0);
+    private static final Backend MODEL = new Backend("m", 360, 64, 100_000);
+
+    private static ServerPool pool(
+            Backend backend, int sidecars, int number, int servers, int slots) {
+        ServerPool pool = new ServerPool(backend, "z");
+        pool.place(sidecars, number);
+        List<ServerRecord> ready = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            ready.add(
+                    new ServerRecord(
+                            "server-" + i,
+                            backend.name(),
+                            "10.0.0." + i + ":80",
+                            "z",
+                            slots,
+                            ServerState.READY,
+                            1));
+        }
+        pool.update(ready);
+        return pool;
+    }
+
+    private static Slot take(ServerPool pool, CallProfile call) {
+        return ((Acquired.Granted) pool.acquire(0, call, Set.of())).slot();
+    }
+
+    private static CallProfile prompt(long shared, long own) {
+        return new CallProfile(
+                List.of(new PromptPart(shared, 13_000), new PromptPart(own, 3000)), 16_000, 100);
+    }
+
+    @Test
+    void eachSidecarBeginsWithAnotherServerAndAllAreUsed() {
+        Set<String> first = new HashSet<>();
+        for (int number = 0; number < 8; number++) {
+            first.add(take(pool(PLAIN, 8, number, 8, 4), CallProfile.PLAIN).serverId());
+        }
+        assertThat(first.size()).isAtLeast(4);
+    }
+
+    @Test
+    void theLowestRankedFreeSlotTakesTheCallAndAFullPoolRejects() {
+        ServerPool pool = pool(PLAIN, 2, 0, 2, 4);
+        List<Slot> taken = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            taken.add(take(pool, CallProfile.PLAIN));
+        }
+        assertThat(taken.stream().filter(slot -> slot.number() == 0).count()).isEqualTo(2);
+        assertThat(pool.acquire(0, CallProfile.PLAIN, Set.of())).isInstanceOf(Acquired.Full.class);
+        pool.release(0, taken.get(3), SlotEnd.SERVED);
+        Slot again = take(pool, CallProfile.PLAIN);
+        assertThat(again.serverId()).isEqualTo(taken.get(3).serverId());
+        assertThat(again.number()).isEqualTo(taken.get(3).number());
+    }
+
+    @Test
+    void aSlotThatFailedIsDiscardedForAWhile() {
+        ServerPool pool = pool(PLAIN, 1, 0, 2, 4);
+        Slot failed = take(pool, CallProfile.PLAIN);
+        pool.release(0, failed, SlotEnd.UNREACHABLE);
+        assertThat(take(pool, CallProfile.PLAIN).serverId()).isNotEqualTo(failed.serverId());
+        Acquired none = pool.acquire(100, CallProfile.PLAIN, Set.of(otherThan(failed)));
+        assertThat(none).isInstanceOf(Acquired.Full.class);
+        Acquired back = pool.acquire(400, CallProfile.PLAIN, Set.of(otherThan(failed)));
+        assertThat(back).isInstanceOf(Acquired.Granted.class);
+        // One call at a time until it has answered.
+        assertThat(pool.acquire(400, CallProfile.PLAIN, Set.of(otherThan(failed))))
+                .isInstanceOf(Acquired.Full.class);
+        pool.release(420, ((Acquired.Granted) back).slot(), SlotEnd.SERVED);
+        take(pool, CallProfile.PLAIN);
+        assertThat(pool.acquire(430, CallProfile.PLAIN, Set.of(otherThan(failed))))
+                .isInstanceOf(Acquired.Granted.class);
+    }
+
+    private static String otherThan(Slot slot) {
+        return slot.serverId().equals("server-0") ? "server-1" : "server-0";
+    }
+
+    @Test
+    void promptsThatShareAPartGoToOneServerFromEverySidecar() {
+        for (long shared = 1; shared < 20; shared++) {
+            Set<String> homes = new HashSet<>();
+            for (int number = 0; number < 6; number++) {
+                homes.add(
+                        take(pool(MODEL, 6, number, 5, 64), prompt(shared, 1000 + number))
+                                .serverId());
+            }
+            assertThat(homes).hasSize(1);
+        }
+    }
+
+    @Test
+    void aHomeWithMuchToReadGivesWay() {
+        ServerPool pool = pool(MODEL, 6, 0, 5, 64);
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 5; i++) {
+            used.add(take(pool, prompt(7, 1000 + i)).serverId());
+        }
+        assertThat(used.size()).isAtLeast(2);
+    }
+
+    @Test
+    void serversThatDrainTakeNothingNew() {
+        ServerPool pool = pool(PLAIN, 1, 0, 2, 4);
+        pool.update(List.of());
+        assertThat(pool.acquire(0, CallProfile.PLAIN, Set.of()))
+                .isInstanceOf(Acquired.Nobody.class);
+    }
+
+    @Test
+    void releasingTwiceCountsOnce() {
+        ServerPool pool = pool(PLAIN, 1, 0, 1, 4);
+        Slot first = take(pool, CallProfile.PLAIN);
+        pool.release(0, first, SlotEnd.SERVED);
+        Slot second = take(pool, CallProfile.PLAIN);
+        pool.release(0, first, SlotEnd.SERVED);
+        assertThat(second.number()).isEqualTo(0);
+        assertThat(take(pool, CallProfile.PLAIN).number()).isEqualTo(1);
+    }
+}
--- /dev/null
+++ b/system/src/test/java/poppynotch/router/ExchangeTest.java
@@ -0,0 +1,458 @@
+package poppynotch.router;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import poppynotch.config.ConfigReader;
+import poppynotch.config.ConfigResult;
+import poppynotch.config.Route;
+import poppynotch.pool.Slot;
+import poppynotch.settings.NodeSettings;
+import poppynotch.settings.SettingsResult;
+import poppynotch.wire.ServerRecord;
+import poppynotch.wire.ServerState;
+
+/** What becomes of a request at each boundary of sending and answering, on real sockets. */
+class ExchangeTest {
+
+    private static final String SETTINGS =
+            """
+        NodeName = "e"
+        Ip = "127.0.0.1"
+        Zone = "z"
+        EphemeralPorts = [1,2]
+        Seeds = []
+        [Bounds]
+        RetryBudgetRatio = 10
+        BudgetSlack = 1000
+        """;
+    private static final String CONFIG =
+            """
+        {"Generation":1,"Routes":[
+        {"Name":"safe","Authority":"h","PathPrefix":"/safe/","RouteType":"safe","TimeoutMs":%d,"Backend":"s",
+         "MaxAttempts":2},
+        {"Name":"unsafe","Authority":"h","PathPrefix":"/unsafe/","RouteType":"unsafe","TimeoutMs":%d,
+         "Backend":"s","MaxAttempts":2},
+        {"Name":"once","Authority":"h","PathPrefix":"/once/","RouteType":"unsafe","TimeoutMs":%d,
+         "Backend":"s","MaxAttempts":1},
+        {"Name":"stream","Authority":"h","PathPrefix":"/stream/","RouteType":"streaming","TimeoutMs":%d,
+         "Backend":"s","MaxAttempts":2},
+        {"Name":"resume","Authority":"h","PathPrefix":"/resume/","RouteType":"streaming","TimeoutMs":%d,
+         "Backend":"s","MaxAttempts":2,"StreamResume":true}],
+        "Backends":[{"Name":"s"}]}
+        """;
+    private static final String ONE = "id: 1\ndata: a\n\n";
+    private static final String TWO = "id: 2\ndata: b\n\n";
+    private static final String THREE = "id: 3\ndata: c\n\n";
+
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final List<ScriptedServer> servers = new ArrayList<>();
+    private final List<String> misdirected = new CopyOnWriteArrayList<>();
+    private Context edge;
+
+    /** An edge without a control plane. */
+    private final class Context implements EdgeContext {
+        private final FleetState state =
+                new FleetState(((SettingsResult.Good) NodeSettings.parse(SETTINGS)).settings());
+        private final EventLoop loop = (EventLoop) group.next();
+        private final UpstreamConnections connections = new UpstreamConnections(loop, this::now);
+        private final Set<Exchange> active = new LinkedHashSet<>();
+
+        @Override
+        public EventLoop loop() {
+            return loop;
+        }
+
+        @Override
+        public long now() {
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        }
+
+        @Override
+        public FleetState state() {
+            return state;
+        }
+
+        @Override
+        public UpstreamConnections connections() {
+            return connections;
+        }
+
+        @Override
+        public Set<Exchange> active() {
+            return active;
+        }
+
+        @Override
+        public void announce(String backend, Slot slot) {
+            // There is no other edge.
+        }
+
+        @Override
+        public boolean hasEngine(String backend) {
+            return false;
+        }
+
+        @Override
+        public void misdirected(String serverId) {
+            misdirected.add(serverId);
+        }
+
+        @Override
+        public boolean isDraining() {
+            return false;
+        }
+
+        @Override
+        public Set<ClientConnection> clients() {
+            return Set.of();
+        }
+    }
+
+    /** What a client got. */
+    private static final class Recorded implements ClientAnswer {
+        final StringBuilder body = new StringBuilder();
+        final CompletableFuture<String> end = new CompletableFuture<>();
+        volatile Exchange exchange;
+        int heads;
+
+        @Override
+        public void whole(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
+            body.append(content.toString(StandardCharsets.UTF_8));
+            content.release();
+            end.complete("whole " + status.code());
+        }
+
+        @Override
+        public void begin(HttpResponseStatus status, HttpHeaders headers) {
+            heads++;
+        }
+
+        @Override
+        public boolean part(ByteBuf data) {
+            body.append(data.toString(StandardCharsets.UTF_8));
+            data.release();
+            return true;
+        }
+
+        @Override
+        public void end() {
+            end.complete("stream");
+        }
+
+        @Override
+        public void breakOff() {
+            end.complete("broken off");
+        }
+
+        @Override
+        public void own(Reply reply, long retryAfterMs) {
+            end.complete(reply + (retryAfterMs > 0 ? " retry" : ""));
+        }
+
+        String ended() throws Exception {
+            return end.get(20, TimeUnit.SECONDS);
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        edge = new Context();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (ScriptedServer server : servers) {
+            server.close();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    /** Servers in the order in which they are tried. */
+    private void serve(ScriptedServer.Step... firstSteps) throws Exception {
+        for (ScriptedServer.Step step : firstSteps) {
+            servers.add(new ScriptedServer(step));
+        }
+        know(servers.stream().map(ScriptedServer::address).toList(), 10_000);
+    }
+
+    private void know(List<String> addresses, long timeoutMs) throws Exception {
+        String json = CONFIG.replace("%d", String.valueOf(timeoutMs));
+        ConfigResult config = ConfigReader.read(json.getBytes(StandardCharsets.UTF_8));
+        List<ServerRecord> records = new ArrayList<>();
+        for (String address : addresses) {
+            // The zone puts the first one before the others.
+            String zone = records.isEmpty() ? "z" : "far";
+            records.add(
+                    new ServerRecord(
+                            "i" + records.size(), "s", address, zone, 4, ServerState.READY, 1));
+        }
+        edge.loop()
+                .submit(
+                        () -> {
+                            edge.state().place(8, 0);
+                            edge.state().configure(0, ((ConfigResult.Valid) config).config());
+                            edge.state().servers(records);
+                        })
+                .sync();
+    }
+
+    private Recorded send(String path) throws Exception {
+        Recorded client = new Recorded();
+        edge.loop()
+                .submit(
+                        () -> {
+                            HttpHeaders headers =
+                                    new DefaultHttpHeaders()
+                                            .set("Host", "h")
+                                            .set(Headers.ATTEMPT_ID, "id-" + System.nanoTime());
+                            ClientRequest request =
+                                    new ClientRequest(
+                                            HttpMethod.POST,
+                                            path + "x",
+                                            headers,
+                                            Unpooled.copiedBuffer("body", StandardCharsets.UTF_8),
+                                            edge.now());
+                            Route route =
+                                    edge.state().config().route("h", request.path()).orElseThrow();
+                            client.exchange =
+                                    new Exchange(edge, request, client, route, null, 0, 60_000);
+                            client.exchange.start();
+                        })
+                .sync();
+        return client;
+    }
+
+    private int arrivals() {
+        return servers.stream().mapToInt(server -> server.heads.size()).sum();
+    }
+
+    @Test
+    void anAnswerIsPassedOnUnchanged() throws Exception {
+        serve(ScriptedServer.ok("hello"));
+        Recorded client = send("/safe/");
+        assertThat(client.ended()).isEqualTo("whole 200");
+        assertThat(client.body.toString()).isEqualTo("hello");
+        assertThat(
+                        ScriptedServer.header(
+                                servers.get(0).heads.get(0), "X-Poppynotch-Expect-Instance"))
+                .isEqualTo("i0");
+    }
+
+    @Test
+    void aSafeRequestThatBreaksIsSentToAnotherServer() throws Exception {
+        serve(ScriptedServer.reset(), ScriptedServer.ok("again"));
+        servers.get(0).then(ScriptedServer.reset());
+        servers.get(1).then(ScriptedServer.ok("again"));
+        Recorded client = send("/safe/");
+        assertThat(client.ended()).isEqualTo("whole 200");
+        assertThat(client.body.toString()).isEqualTo("again");
+    }
+
+    @Test
+    void anUnsafeRequestThatBreaksMayHaveRunAndIsNotSentAgain() throws Exception {
+        serve(ScriptedServer.reset(), ScriptedServer.reset());
+        assertThat(send("/unsafe/").ended()).isEqualTo("BROKEN");
+        assertThat(arrivals()).isEqualTo(1);
+    }
+
+    @Test
+    void aServerThatCannotBeReachedIsPassedOver() throws Exception {
+        int closed;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            closed = socket.getLocalPort();
+        }
+        servers.add(new ScriptedServer(ScriptedServer.ok("there")));
+        know(List.of("127.0.0.1:" + closed, servers.get(0).address()), 10_000);
+        assertThat(send("/once/").ended()).isEqualTo("whole 200");
+    }
+
+    @Test
+    void whatAServerDidNotRunGoesToAnother() throws Exception {
+        ScriptedServer.Step full =
+                ScriptedServer.answer("503 Full", "X-Poppynotch-Not-Executed: 1\r\n", "");
+        serve(full, full);
+        servers.forEach(server -> server.then(ScriptedServer.ok("there")));
+        assertThat(send("/unsafe/").ended()).isEqualTo("FULL retry");
+        assertThat(arrivals()).isEqualTo(2);
+    }
+
+    @Test
+    void withoutAnotherAttemptItIsRefusedWithATimeToComeBack() throws Exception {
+        ScriptedServer.Step full =
+                ScriptedServer.answer("503 Full", "X-Poppynotch-Not-Executed: 1\r\n", "");
+        serve(full, full);
+        assertThat(send("/once/").ended()).isEqualTo("FULL retry");
+        assertThat(arrivals()).isEqualTo(1);
+    }
+
+    @Test
+    void aPromiseThatTheServerDidNotGiveIsNotGivenForIt() throws Exception {
+        serve(ScriptedServer.answer("503 Busy", "X-Poppynotch-Response-Seal: s\r\n", "maybe"));
+        assertThat(send("/once/").ended()).isEqualTo("BROKEN");
+    }
+
+    @Test
+    void anAddressOfAnotherServerIsForgotten() throws Exception {
+        serve(
+                ScriptedServer.answer(
+                        "421 Misdirected Request", "X-Poppynotch-Instance-Id: other\r\n", ""),
+                ScriptedServer.ok("right"));
+        servers.get(1).then(ScriptedServer.ok("right"));
+        assertThat(send("/once/").ended()).isEqualTo("whole 200");
+        assertThat(misdirected).containsExactly("i0");
+    }
+
+    @Test
+    void aSuccessWithoutASealIsNotPassedOn() throws Exception {
+        serve(ScriptedServer.answer("200 OK", "", "not the server's"));
+        assertThat(send("/once/").ended()).isEqualTo("BROKEN");
+    }
+
+    @Test
+    void anAnswerThatIsCutShortIsNotPassedOn() throws Exception {
+        serve(
+                (head, out, socket) -> {
+                    ScriptedServer.write(
+                            out,
+                            "HTTP/1.1 200 OK\r\nX-Poppynotch-Response-Seal: s\r\n"
+                                    + "Content-Length: 9\r\n\r\nhal");
+                    return false;
+                });
+        assertThat(send("/once/").ended()).isEqualTo("BROKEN");
+    }
+
+    @Test
+    void anAnswerToAnEarlierRequestIsPassedOver() throws Exception {
+        serve(
+                (head, out, socket) -> {
+                    ScriptedServer.write(
+                            out,
+                            "HTTP/1.1 200 OK\r\nX-Poppynotch-Attempt-Id: old\r\n"
+                                    + "X-Poppynotch-Response-Seal: s\r\nContent-Length: 3\r\n\r\nold");
+                    return ScriptedServer.ok("own").serve(head, out, socket);
+                });
+        Recorded client = send("/once/");
+        assertThat(client.ended()).isEqualTo("whole 200");
+        assertThat(client.body.toString()).isEqualTo("own");
+    }
+
+    @Test
+    void aConnectionOnWhichMoreCameIsNotUsedAgain() throws Exception {
+        serve(
+                (head, out, socket) -> {
+                    ScriptedServer.write(
+                            out,
+                            "HTTP/1.1 200 OK\r\nX-Poppynotch-Attempt-Id: "
+                                    + ScriptedServer.header(head, "X-Poppynotch-Attempt-Id")
+                                    + "\r\nX-Poppynotch-Response-Seal: s\r\n"
+                                    + "Content-Length: 3\r\n\r\nownHTTP/1.1 200 OK\r\n"
+                                    + "X-Poppynotch-Response-Seal: s\r\nContent-Length: 3\r\n\r\nnot");
+                    return true;
+                });
+        assertThat(send("/once/").ended()).isEqualTo("whole 200");
+        servers.get(0).then(ScriptedServer.ok("next"));
+        Recorded second = send("/once/");
+        assertThat(second.ended()).isEqualTo("whole 200");
+        assertThat(second.body.toString()).isEqualTo("next");
+    }
+
+    @Test
+    void aStreamIsPassedOnEventByEvent() throws Exception {
+        serve(ScriptedServer.events(true, ONE + "id: 2\nda", "ta: b\n\n", THREE));
+        Recorded client = send("/stream/");
+        assertThat(client.ended()).isEqualTo("stream");
+        assertThat(client.body.toString()).isEqualTo(ONE + TWO + THREE);
+        assertThat(client.heads).isEqualTo(1);
+    }
+
+    @Test
+    void aStreamThatBreaksGoesOnElsewhereBehindItsLastWholeEvent() throws Exception {
+        serve(
+                ScriptedServer.events(false, ONE + TWO + "id: 3\nda"),
+                ScriptedServer.events(true, THREE));
+        Recorded client = send("/resume/");
+        assertThat(client.ended()).isEqualTo("stream");
+        assertThat(client.body.toString()).isEqualTo(ONE + TWO + THREE);
+        assertThat(client.heads).isEqualTo(1);
+        assertThat(ScriptedServer.header(servers.get(1).heads.get(0), "Last-Event-Id"))
+                .isEqualTo("2");
+    }
+
+    @Test
+    void aStreamThatMayNotBeResumedIsBrokenOffBetweenEvents() throws Exception {
+        serve(ScriptedServer.events(false, ONE + "id: 2\nda"), ScriptedServer.reset());
+        Recorded client = send("/stream/");
+        assertThat(client.ended()).isEqualTo("broken off");
+        assertThat(client.body.toString()).isEqualTo(ONE);
+        assertThat(arrivals()).isEqualTo(1);
+    }
+
+    @Test
+    void aStreamThatBreaksBeforeItsFirstEventIsAnsweredWithoutAPromise() throws Exception {
+        serve(ScriptedServer.events(false, "id: 1\nda"), ScriptedServer.reset());
+        assertThat(send("/stream/").ended()).isEqualTo("BROKEN");
+    }
+
+    @Test
+    void theTimeIsOverWhenTheRouteSaysSo() throws Exception {
+        servers.add(new ScriptedServer((head, out, socket) -> socket.getInputStream().read() >= 0));
+        know(List.of(servers.get(0).address()), 150);
+        assertThat(send("/once/").ended()).isEqualTo("TIMED_OUT");
+        assertThat(servers.get(0).ended.poll(20, TimeUnit.SECONDS)).isEqualTo("connection");
+    }
+
+    @Test
+    void theServersConnectionEndsWhenTheClientHasLeft() throws Exception {
+        CompletableFuture<Void> arrived = new CompletableFuture<>();
+        serve(
+                (head, out, socket) -> {
+                    arrived.complete(null);
+                    return socket.getInputStream().read() >= 0;
+                });
+        Recorded client = send("/once/");
+        arrived.get(20, TimeUnit.SECONDS);
+        edge.loop().submit(client.exchange::clientGone).sync();
+        assertThat(servers.get(0).ended.poll(20, TimeUnit.SECONDS)).isEqualTo("connection");
+        assertThat(client.end.isDone()).isFalse();
+    }
+
+    @Test
+    void aConnectionThatTheServerHasClosedIsNotUsedForTheNextRequest() throws Exception {
+        serve(
+                (head, out, socket) -> {
+                    ScriptedServer.ok("first").serve(head, out, socket);
+                    return false;
+                });
+        assertThat(send("/once/").ended()).isEqualTo("whole 200");
+        assertThat(servers.get(0).ended.poll(20, TimeUnit.SECONDS)).isEqualTo("connection");
+        // What the network has told is read in the loop's next turn.
+        edge.loop().submit(() -> {}).sync();
+        edge.loop().submit(() -> {}).sync();
+        servers.get(0).then(ScriptedServer.ok("second"));
+        assertThat(send("/once/").ended()).isEqualTo("whole 200");
+    }
+}
--- /dev/null
+++ b/system/src/test/java/poppynotch/router/ServerDirectoryTest.java
@@ -0,0 +1,69 @@
+package poppynotch.router;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import poppynotch.wire.ServerRecord;
+import poppynotch.wire.ServerState;
+
+class ServerDirectoryTest {
+
+    private final ServerDirectory directory = new ServerDirectory();
+
+    private static ServerRecord server(String id, ServerState state, long sequence) {
+        return new ServerRecord(id, "s", "10.0.0.1:80", "z", 4, state, sequence);
+    }
+
+    private static List<ServerRecord> ready(String... ids) {
+        return Arrays.stream(ids).map(id -> server(id, ServerState.READY, 1)).toList();
+    }
+
+    private List<String> known() {
+        return directory.servers().stream().map(ServerRecord::id).sorted().toList();
+    }
+
+    @Test
+    void aCoreProcessThatHasJustStartedRemovesNobody() {
+        directory.update(0, true, true, ready("a", "b"));
+        directory.forget(0);
+        directory.update(0, true, false, ready("a"));
+        assertThat(known()).containsExactly("a", "b");
+        directory.update(0, false, true, List.of());
+        assertThat(known()).containsExactly("a");
+    }
+
+    @Test
+    void whatOneSourceStillListsStays() {
+        directory.update(0, true, true, ready("a", "b"));
+        directory.update(1, true, true, ready("a"));
+        assertThat(known()).containsExactly("a", "b");
+        directory.update(0, false, true, List.of(server("b", ServerState.EXPIRED, 1)));
+        assertThat(known()).containsExactly("a");
+    }
+
+    @Test
+    void aDrainHoldsWhoeverTellsIt() {
+        directory.update(0, true, true, ready("a"));
+        directory.update(1, true, true, List.of(server("a", ServerState.DRAINING, 2)));
+        directory.update(0, false, true, ready("a"));
+        assertThat(directory.servers()).containsExactly(server("a", ServerState.DRAINING, 2));
+    }
+
+    @Test
+    void oneThatHasLeftNeverComesBack() {
+        directory.update(0, true, true, ready("a"));
+        directory.update(1, true, true, List.of(server("a", ServerState.LEFT, 2)));
+        assertThat(known()).isEmpty();
+        directory.update(0, true, true, ready("a"));
+        assertThat(known()).isEmpty();
+    }
+
+    @Test
+    void oneWhoseAddressIsAnothersIsGone() {
+        directory.update(0, true, true, ready("a", "b"));
+        assertThat(directory.markLeft("a")).isTrue();
+        assertThat(known()).containsExactly("b");
+    }
+}
--- /dev/null
+++ b/system/src/test/java/poppynotch/settings/NodeSettingsTest.java
@@ -0,0 +1,59 @@
+package poppynotch.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class NodeSettingsTest {
+
+    private static final String GOOD =
+            """
+        NodeName = "edge-1"
+        Ip = "10.1.0.3"
+        Zone = "z"
+        EphemeralPorts = [7500,7515]
+        Seeds = ["10.1.0.6:8367","10.2.0.20:8367"]
+        Bootstrap = true
+        HeartbeatMs = 1200
+        Unknown = {a = 1}
+        [Bind]
+        Front = "10.1.0.3:8360"
+        [Bounds]
+        BudgetSlack = 52
+        RetryBudgetRatio = 0.2
+        """;
+
+    private static String problem(String toml) {
+        return ((SettingsResult.Bad) NodeSettings.parse(toml)).reason();
+    }
+
+    @Test
+    void settingsAreReadAndWhatIsUnknownIsIgnored() {
+        NodeSettings settings = ((SettingsResult.Good) NodeSettings.parse(GOOD)).settings();
+        assertThat(settings.seeds())
+                .containsExactly(new HostPort("10.1.0.6", 8367), new HostPort("10.2.0.20", 8367))
+                .inOrder();
+        assertThat(settings.peerPort()).isEqualTo(7500);
+        assertThat(settings.front()).isEqualTo(Optional.of(new HostPort("10.1.0.3", 8360)));
+        assertThat(settings.control()).isEqualTo(Optional.empty());
+        assertThat(settings.bounds().retryBudgetSlack()).isEqualTo(52.0);
+    }
+
+    @Test
+    void whatIsMissingOrWrongIsSaidInOneLine() {
+        assertThat(problem(GOOD.replace("NodeName = \"edge-1\"", "")))
+                .contains("NodeName is missing");
+        assertThat(problem(GOOD.replace("10.1.0.3:8360", "10.1.0.3"))).contains("no HOST:PORT");
+        assertThat(problem(GOOD.replace("[7500,7515]", "[]"))).contains("EphemeralPorts");
+        assertThat(problem("NodeName = ").lines().count()).isEqualTo(1);
+        assertThat(problem(GOOD.replace("\"edge-1\"", "7")).lines().count()).isEqualTo(1);
+    }
+
+    @Test
+    void aFileThatCannotBeReadIsSaidSo() {
+        SettingsResult result = NodeSettings.read(Path.of("no-such-file.toml"));
+        assertThat(((SettingsResult.Bad) result).reason()).contains("no-such-file.toml");
+    }
+}
--- /dev/null
+++ b/system/src/test/java/poppynotch/wire/MessageCodecTest.java
@@ -0,0 +1,99 @@
+package poppynotch.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import poppynotch.register.AcceptorSet;
+import poppynotch.register.AppliedChange;
+import poppynotch.register.Ballot;
+import poppynotch.register.RegisterValue;
+import poppynotch.register.Vote;
+
+class MessageCodecTest {
+
+    private static final Ballot BALLOT = new Ballot(5, -3);
+    private static final RegisterValue VALUE =
+            new RegisterValue(
+                    4,
+                    new AcceptorSet(List.of("a"), List.of("b")),
+                    9,
+                    new byte[] {1, 2},
+                    List.of(new AppliedChange(7, 9)));
+    private static final ServerRecord SERVER =
+            new ServerRecord("i", "s", "h:1", "z", 4, ServerState.DRAINING, 8);
+    private static final List<Usage> USAGE = List.of(new Usage("t", 12));
+
+    private static final List<Message> ALL =
+            List.of(
+                    new Message.Hello("a:1", 3),
+                    new Message.CoreBeat(
+                            1,
+                            2,
+                            BALLOT,
+                            BALLOT,
+                            BALLOT,
+                            AcceptorSet.of(List.of("a")),
+                            true,
+                            99,
+                            List.of("c"),
+                            List.of(new Message.Heard("i", 4)),
+                            List.of(new EdgeLease("e", 1, "h:2", 2, USAGE))),
+                    new Message.BeatEcho(4),
+                    new Message.RegisterVote(new Vote.Prepare(BALLOT)),
+                    new Message.RegisterVote(new Vote.Promise(BALLOT, Ballot.ZERO, VALUE)),
+                    new Message.RegisterVote(new Vote.Accept(BALLOT, VALUE)),
+                    new Message.RegisterVote(new Vote.Accepted(BALLOT)),
+                    new Message.RegisterVote(new Vote.Rejected(BALLOT, Ballot.ZERO)),
+                    new Message.Learn(BALLOT, VALUE),
+                    new Message.FetchValue(),
+                    new Message.ServersChanged(1, List.of(SERVER)),
+                    new Message.ServersHeld(1),
+                    new Message.FetchRegistry(),
+                    new Message.RegistrySnapshot(true, List.of(SERVER)),
+                    new Message.Poll("e", 1, "h:2", 2, 3, 4, 5, USAGE),
+                    new Message.PromptSent("i", "s", 7, List.of(new PromptPart(-1, 3))),
+                    new Message.PollReply(
+                            1,
+                            2,
+                            3,
+                            VALUE,
+                            true,
+                            false,
+                            4,
+                            List.of(SERVER),
+                            5,
+                            6,
+                            USAGE,
+                            List.of("c"),
+                            List.of("h:2")),
+                    new Message.PollReply(
+                            1, 2, 3, null, false, true, 4, List.of(), 5, 6, List.of(), List.of(),
+                            List.of()));
+
+    @Test
+    void everyMessageComesBackAsItWas() throws IOException {
+        for (Message message : ALL) {
+            assertThat(MessageCodec.decode(MessageCodec.encode(message))).isEqualTo(message);
+        }
+    }
+
+    @Test
+    void aRecordThatIsCutShortIsRefused() {
+        for (Message message : ALL) {
+            byte[] record = MessageCodec.encode(message);
+            for (int length = 0; length < record.length; length++) {
+                byte[] cut = Arrays.copyOf(record, length);
+                assertThrows(IOException.class, () -> MessageCodec.decode(cut));
+            }
+        }
+    }
+
+    @Test
+    void anUnknownKindIsRefused() {
+        assertThrows(IOException.class, () -> MessageCodec.decode(new byte[] {77}));
+    }
+}
--- a/transport/src/main/java/poppynotch/transport/StrictResponseDecoder.java
+++ b/transport/src/main/java/poppynotch/transport/StrictResponseDecoder.java
@@ -18,13 +18,17 @@
     @Override
     protected HttpMessage createMessage(String[] statusLine) {
         HttpMessage made = super.createMessage(statusLine);
-        if (made.protocolVersion().majorVersion() != 1 || !STATUS.matcher(statusLine[1]).matches()) {
-            throw new IllegalArgumentException("no HTTP/1 status line: " + String.join(" ", statusLine));
+        if (made.protocolVersion().majorVersion() != 1
+                || !STATUS.matcher(statusLine[1]).matches()) {
+            throw new IllegalArgumentException(
+                    "no HTTP/1 status line: " + String.join(" ", statusLine));
         }
         return made;
     }
 
-    /** The library ends a name at a blank too, and so finds a header in a line that has no colon. */
+    /**
+     * The library ends a name at a blank too, and so finds a header in a line that has no colon.
+     */
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         if (line[start + length] != ':') {
