Elect who looks after the acceptors, scrub the disk, measure control by size

The role followed from the lowest address; the house style asks for an election round when it is vacant. A disk without writes for 10 s is read again.

--- a/register/src/main/java/poppynotch/register/StateFiles.java
+++ b/register/src/main/java/poppynotch/register/StateFiles.java
@@ -87,6 +87,31 @@
         }
     }
 
+    /**
+     * Reads what is on disk again; true if it is what was kept last. Else it is written whole anew.
+     */
+    public boolean scrub() throws IOException {
+        if (current < 0 || suspect) {
+            return true;
+        }
+        AcceptorState memory = kept;
+        long end = logEnd;
+        DataInputStream slot = record(slots[current], 0);
+        boolean good = slot != null && slot.readLong() == sequence;
+        if (good) {
+            kept = readState(slot);
+            replayLog();
+            good = kept.equals(memory) && logEnd == end;
+        }
+        kept = memory;
+        logEnd = end;
+        if (!good) {
+            suspect = true;
+            write(memory);
+        }
+        return good;
+    }
+
     /**
      * Keeps a state; when this returns, no loss of power loses it. An exception says that it may be
      * lost.
--- a/register/src/test/java/poppynotch/register/StateFilesTest.java
+++ b/register/src/test/java/poppynotch/register/StateFilesTest.java
@@ -66,6 +66,26 @@
         }
     }
 
+    @Test
+    void aScrubFindsDamageAndWritesTheStateAnew() throws IOException {
+        try (StateFiles files = new StateFiles(folder)) {
+            files.read();
+            files.write(state(1, 5000));
+            files.write(state(2, 5000));
+            assertThat(files.scrub()).isTrue();
+            for (int i = 0; i < 4; i++) {
+                byte[] content = Files.readAllBytes(file(i));
+                if (content.length > 40) {
+                    content[40] ^= 1;
+                    Files.write(file(i), content);
+                }
+            }
+            assertThat(files.scrub()).isFalse();
+            assertThat(files.scrub()).isTrue();
+        }
+        assertThat(readAgain()).isEqualTo(Optional.of(state(2, 5000)));
+    }
+
     /** Whatever bytes of the latest write are missing or torn, what was kept before it stands. */
     @Test
     void aTornWriteLosesNothingThatWasKept() throws IOException {
--- a/system/src/main/java/poppynotch/app/Main.java
+++ b/system/src/main/java/poppynotch/app/Main.java
@@ -35,6 +35,7 @@
         commands.put("check", new CheckCommand());
         commands.put("status", new StatusCommand());
         commands.put("demo", new DemoCommand());
+        commands.put("scale", new ScaleCommand());
         JCommander parser = JCommander.newBuilder().programName("poppynotch").build();
         commands.forEach(parser::addCommand);
         try {
--- a/system/src/main/java/poppynotch/control/CoreNode.java
+++ b/system/src/main/java/poppynotch/control/CoreNode.java
@@ -65,7 +65,7 @@
     private static final long ORDER_LIMIT_MS = 2500;
     private static final long HOLD_LIMIT_MS = 900;
     private static final long CONTACT_MS = 2000;
-    private static final long MAINTENANCE_MS = 1000;
+    private static final long MAINTENANCE_MS = 500;
 
     /** Heartbeats in a row with another registry's digest, after which it is fetched. */
     private static final int DIGEST_MISMATCHES = 2;
@@ -108,6 +108,7 @@
     private final EdgeDirectory edges = new EdgeDirectory();
     private final PollHub polls;
     private final AcceptorMaintenance maintenance;
+    private final RoleElection election;
     private final Map<Long, Holding> holdings = new HashMap<>();
     private final Map<String, Integer> mismatches = new HashMap<>();
 
@@ -137,6 +138,12 @@
         registry = new ServerRegistry(now(), settings.heartbeatMs());
         polls = new PollHub(incarnation, registry, edges, this, CoreNode::now);
         maintenance = new AcceptorMaintenance(settings.toleratedMachines());
+        election =
+                new RoleElection(
+                        self,
+                        now(),
+                        incarnation,
+                        term -> peers.sendToAll(new Message.RoleClaim(term)));
     }
 
     private static List<String> addresses(NodeSettings settings) {
@@ -340,13 +347,10 @@
                         leases));
     }
 
-    /**
-     * The core process with the lowest address among those in contact looks after the set of
-     * acceptors.
-     */
+    /** Whoever holds that role looks after the set of acceptors. */
     private void maintainAcceptors(long now) {
-        boolean first = peers.inContact(now, AcceptorMaintenance.FIT_MS).get(0).equals(self);
-        if (!first || fenced || maintaining || register.chosen().isEmpty()) {
+        election.tick(now);
+        if (!election.isHolder(now) || isFenced() || maintaining || register.chosen().isEmpty()) {
             return;
         }
         Optional<Change> due =
@@ -408,6 +412,12 @@
             register.on(now, sender, vote.vote());
         } else if (message instanceof Message.Learn learn) {
             register.learn(new RegisterReplica.Chosen(learn.ballot(), learn.value()), false);
+        } else if (message instanceof Message.RoleClaim claim) {
+            if (election.claimed(now, sender, claim.term())) {
+                peers.send(sender, new Message.RoleGrant(claim.term()));
+            }
+        } else if (message instanceof Message.RoleGrant grant) {
+            election.granted(sender, grant.term(), register.acceptors());
         } else if (message instanceof Message.FetchValue) {
             register.chosen()
                     .ifPresent(
--- a/system/src/main/java/poppynotch/control/DiskStorage.java
+++ b/system/src/main/java/poppynotch/control/DiskStorage.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import poppynotch.register.AcceptorState;
@@ -19,6 +20,9 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(DiskStorage.class);
 
+    /** The disk is checked after so much time without a write. */
+    private static final long SCRUB_MS = 10_000;
+
     private record Write(AcceptorState state, Runnable kept) {}
 
     private final StateFiles files;
@@ -44,7 +48,12 @@
         List<Write> batch = new ArrayList<>();
         try {
             while (true) {
-                batch.add(queue.take());
+                Write next = queue.poll(SCRUB_MS, TimeUnit.MILLISECONDS);
+                if (next == null) {
+                    scrub();
+                    continue;
+                }
+                batch.add(next);
                 queue.drainTo(batch);
                 write(List.copyOf(batch));
                 batch.clear();
@@ -54,6 +63,16 @@
         }
     }
 
+    private void scrub() {
+        try {
+            if (!files.scrub()) {
+                LOG.error("what was on disk was damaged; it is written anew");
+            }
+        } catch (IOException e) {
+            LOG.warn("the disk can't be checked: {}", e.getMessage());
+        }
+    }
+
     private void write(List<Write> batch) {
         for (Write write : batch) {
             if (write.state() != null) {
--- /dev/null
+++ b/system/src/main/java/poppynotch/control/RoleElection.java
@@ -0,0 +1,101 @@
+package poppynotch.control;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.SplittableRandom;
+import poppynotch.register.AcceptorSet;
+
+/**
+ * Who holds a role that one process is to have. Whoever finds it vacant asks all for a grant under
+ * a new term; a process grants to one at a time, for the length of a lease. A majority's grants
+ * make the holder, until the lease that the first of them began with ends. It is told the time and
+ * does no I/O.
+ */
+public final class RoleElection {
+
+    /** How long a grant binds whoever gave it. */
+    public static final long LEASE_MS = 3000;
+
+    /** A holder counts its lease shorter, by what a clock may run differently. */
+    private static final long MARGIN_MS = 200;
+
+    private static final long RENEW_MS = 1000;
+    private static final int SPREAD_MS = 600;
+
+    /** What goes to all others. */
+    public interface Port {
+        /** Asks all others for their grant. */
+        void claim(long term);
+    }
+
+    private final String self;
+    private final Port port;
+    private final SplittableRandom random;
+    private long highestTerm;
+    private String grantedTo = "";
+    private long grantEndsMs = Long.MIN_VALUE;
+    private long claimedTerm;
+    private long claimedMs;
+    private final Set<String> grants = new HashSet<>();
+    private long heldUntilMs = Long.MIN_VALUE;
+    private long nextClaimMs;
+
+    /**
+     * A process that has granted nothing; it may not know of grants that it gave before it was
+     * restarted.
+     */
+    public RoleElection(String self, long nowMs, long seed, Port port) {
+        this.self = self;
+        this.port = port;
+        random = new SplittableRandom(seed);
+        // What it granted in an earlier life may still bind it.
+        grantEndsMs = nowMs + LEASE_MS;
+        nextClaimMs = grantEndsMs + random.nextInt(SPREAD_MS);
+    }
+
+    /** Whether this process holds the role. */
+    public boolean isHolder(long nowMs) {
+        return nowMs < heldUntilMs;
+    }
+
+    /** Asks for the role when it is vacant, and for a longer lease while this process has it. */
+    public void tick(long nowMs) {
+        boolean vacant = nowMs >= grantEndsMs;
+        boolean renews = isHolder(nowMs);
+        if (nowMs < nextClaimMs || !vacant && !renews && !grantedTo.equals(self)) {
+            return;
+        }
+        nextClaimMs = nowMs + (renews ? RENEW_MS : RENEW_MS + random.nextInt(SPREAD_MS));
+        claimedTerm = ++highestTerm;
+        claimedMs = nowMs;
+        grants.clear();
+        grantedTo = self;
+        grantEndsMs = nowMs + LEASE_MS;
+        grants.add(self);
+        port.claim(claimedTerm);
+    }
+
+    /** Another process asks for the role; true if it gets this process's grant. */
+    public boolean claimed(long nowMs, String by, long term) {
+        boolean free = nowMs >= grantEndsMs || grantedTo.equals(by);
+        highestTerm = Math.max(highestTerm, term);
+        if (!free) {
+            return false;
+        }
+        grantedTo = by;
+        grantEndsMs = nowMs + LEASE_MS;
+        nextClaimMs = grantEndsMs + random.nextInt(SPREAD_MS);
+        return true;
+    }
+
+    /** A process grants a claim of this one. */
+    public void granted(String by, long term, AcceptorSet voters) {
+        if (term != claimedTerm) {
+            return;
+        }
+        grants.add(by);
+        if (voters.isQuorum(grants)) {
+            heldUntilMs = Math.max(heldUntilMs, claimedMs + LEASE_MS - MARGIN_MS);
+        }
+    }
+}
--- a/system/src/main/java/poppynotch/control/StatusPage.java
+++ b/system/src/main/java/poppynotch/control/StatusPage.java
@@ -5,6 +5,7 @@
 import jakarta.json.spi.JsonProvider;
 import java.util.Comparator;
 import java.util.List;
+import poppynotch.wire.RecordChannel;
 import poppynotch.wire.ServerRecord;
 
 /** What one core process knows, as JSON for operators. */
@@ -80,6 +81,8 @@
                                 register.chosen()
                                         .map(chosen -> chosen.value().generation())
                                         .orElse(0L))
+                        .add("RecordBytesSent", RecordChannel.bytesSent())
+                        .add("RecordBytesReceived", RecordChannel.bytesReceived())
                         .add("RegistryComplete", registry.isComplete(nowMs))
                         .add("Cores", cores)
                         .add("Edges", json.createArrayBuilder(edges.present(nowMs)))
--- a/system/src/main/java/poppynotch/router/EdgeNode.java
+++ b/system/src/main/java/poppynotch/router/EdgeNode.java
@@ -69,7 +69,8 @@
     private final Set<Exchange> active = new LinkedHashSet<>();
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     private final CountDownLatch ended = new CountDownLatch(1);
-    private Set<String> knownServers = Set.of();
+    private volatile Set<String> knownServers = Set.of();
+    private volatile long inForce;
     private long revision = -1;
     private boolean draining;
     private long drainingSinceMs;
@@ -197,6 +198,16 @@
         loop.execute(() -> control.know(changed));
     }
 
+    /** The version of the configuration in force; 0 before the first. Any thread may ask. */
+    public long inForce() {
+        return inForce;
+    }
+
+    /** How many servers are known. Any thread may ask. */
+    public int known() {
+        return knownServers.size();
+    }
+
     // ---- the end ----
 
     /**
@@ -232,6 +243,7 @@
         if (read instanceof ConfigResult.Valid valid) {
             revision = value.revision();
             state.configure(now(), valid.config());
+            inForce = value.generation();
             LOG.info("in force: {}", value);
         } else {
             LOG.error("a configuration in force can't be read: {}", read);
--- a/system/src/main/java/poppynotch/wire/Message.java
+++ b/system/src/main/java/poppynotch/wire/Message.java
@@ -48,6 +48,12 @@
     /** A vote for the register, or a question for one. */
     record RegisterVote(Vote vote) implements Message {}
 
+    /** Asks for the role of looking after the set of acceptors. */
+    record RoleClaim(long term) implements Message {}
+
+    /** Grants that role for the length of a lease. */
+    record RoleGrant(long term) implements Message {}
+
     /** A chosen value. */
     record Learn(Ballot ballot, RegisterValue value) implements Message {}
 
--- a/system/src/main/java/poppynotch/wire/MessageCodec.java
+++ b/system/src/main/java/poppynotch/wire/MessageCodec.java
@@ -30,6 +30,8 @@
     private static final byte POLL = 11;
     private static final byte POLL_REPLY = 12;
     private static final byte PROMPT_SENT = 13;
+    private static final byte ROLE_CLAIM = 14;
+    private static final byte ROLE_GRANT = 15;
 
     private static final byte PREPARE = 1;
     private static final byte PROMISE = 2;
@@ -71,6 +73,8 @@
             case BEAT_ECHO -> new Message.BeatEcho(in.readLong());
             case REGISTER_VOTE -> new Message.RegisterVote(readVote(in));
             case LEARN -> new Message.Learn(ValueCodec.readBallot(in), ValueCodec.readValue(in));
+            case ROLE_CLAIM -> new Message.RoleClaim(in.readLong());
+            case ROLE_GRANT -> new Message.RoleGrant(in.readLong());
             case FETCH_VALUE -> new Message.FetchValue();
             case SERVERS_CHANGED ->
                     new Message.ServersChanged(
@@ -119,6 +123,12 @@
             out.writeByte(LEARN);
             ValueCodec.writeBallot(out, learn.ballot());
             ValueCodec.writeValue(out, learn.value());
+        } else if (message instanceof Message.RoleClaim claim) {
+            out.writeByte(ROLE_CLAIM);
+            out.writeLong(claim.term());
+        } else if (message instanceof Message.RoleGrant grant) {
+            out.writeByte(ROLE_GRANT);
+            out.writeLong(grant.term());
         } else if (message instanceof Message.FetchValue) {
             out.writeByte(FETCH_VALUE);
         } else {
--- a/system/src/main/java/poppynotch/wire/RecordChannel.java
+++ b/system/src/main/java/poppynotch/wire/RecordChannel.java
@@ -8,6 +8,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import java.io.IOException;
+import java.util.concurrent.atomic.LongAdder;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,8 +28,23 @@
         default void closed(Channel channel) {}
     }
 
+    /** Bytes that this process has sent, and received, in records. */
+    private static final LongAdder SENT = new LongAdder();
+
+    private static final LongAdder RECEIVED = new LongAdder();
+
     private RecordChannel() {}
 
+    /** Bytes of records sent since the process started. */
+    public static long bytesSent() {
+        return SENT.sum();
+    }
+
+    /** Bytes of records received since the process started. */
+    public static long bytesReceived() {
+        return RECEIVED.sum();
+    }
+
     /** Lets a connection's records be read; damaged ones close it. */
     public static void install(ChannelPipeline pipeline, Receiver receiver) {
         pipeline.addLast(
@@ -38,6 +54,7 @@
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf record)
                             throws IOException {
+                        RECEIVED.add(LENGTH_BYTES + record.readableBytes());
                         receiver.received(
                                 ctx.channel(), MessageCodec.decode(ByteBufUtil.getBytes(record)));
                     }
@@ -61,6 +78,7 @@
     public static void send(Channel channel, Message message) {
         byte[] record = MessageCodec.encode(message);
         ByteBuf frame = channel.alloc().buffer(LENGTH_BYTES + record.length);
+        SENT.add(LENGTH_BYTES + record.length);
         frame.writeInt(record.length).writeBytes(record);
         channel.writeAndFlush(frame);
     }
--- a/system/src/test/java/poppynotch/wire/MessageCodecTest.java
+++ b/system/src/test/java/poppynotch/wire/MessageCodecTest.java
@@ -50,6 +50,8 @@
                     new Message.RegisterVote(new Vote.Rejected(BALLOT, Ballot.ZERO)),
                     new Message.Learn(BALLOT, VALUE),
                     new Message.FetchValue(),
+                    new Message.RoleClaim(3),
+                    new Message.RoleGrant(4),
                     new Message.ServersChanged(1, List.of(SERVER)),
                     new Message.ServersHeld(1),
                     new Message.FetchRegistry(),
