Rank away from servers that fail and from reading again what another keeps

One failure discards its slot, two in a row pause the server; the part of a server's calls that fails moves it back, and fades. A token that another server keeps costs a choice 0.02 ms more. Idle connections are trusted for less time after a reset. Of more than 65 edges each tells 24 of its prompts, so that the cost of a prompt does not grow with the fleet.

--- a/system/src/main/java/poppynotch/app/ScaleCommand.java
+++ b/system/src/main/java/poppynotch/app/ScaleCommand.java
@@ -3,7 +3,6 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -49,7 +48,7 @@
                         + cores
                         + " --idle "
                         + idleSeconds;
-        Files.writeString(Path.of(out), ScaleRun.measureAll(plans, command));
+        ScaleRun.measureAll(plans, command, Path.of(out));
         return 0;
     }
 }
--- a/system/src/main/java/poppynotch/control/CoreNode.java
+++ b/system/src/main/java/poppynotch/control/CoreNode.java
@@ -1,27 +1,17 @@
 package poppynotch.control;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.AttributeKey;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -38,11 +28,11 @@
 import poppynotch.register.Vote;
 import poppynotch.settings.HostPort;
 import poppynotch.settings.NodeSettings;
+import poppynotch.transport.Listeners;
 import poppynotch.wire.EdgeLease;
 import poppynotch.wire.Message;
 import poppynotch.wire.RecordChannel;
 import poppynotch.wire.ServerRecord;
-import poppynotch.wire.ServerState;
 
 /**
  * A core process: it holds a replica of the register, the registry of servers and the edges'
@@ -63,33 +53,10 @@
     private static final long REGISTRY_STALE_MS = 2000;
 
     private static final long ORDER_LIMIT_MS = 2500;
-    private static final long HOLD_LIMIT_MS = 900;
     private static final long CONTACT_MS = 2000;
     private static final long MAINTENANCE_MS = 500;
 
-    /** Heartbeats in a row with another registry's digest, after which it is fetched. */
-    private static final int DIGEST_MISMATCHES = 2;
-
     private static final long DISK_RETRY_MS = 200;
-    private static final int MOST_DRAINS = 4096;
-
-    /** A change of the registry that is acknowledged once a majority of the core holds it. */
-    private static final class Holding {
-        final Set<String> holders = new HashSet<>();
-        final Set<String> core;
-        final Consumer<Boolean> end;
-        final long untilMs;
-
-        Holding(Set<String> core, Consumer<Boolean> end, long untilMs) {
-            this.core = core;
-            this.end = end;
-            this.untilMs = untilMs;
-        }
-
-        boolean isHeld() {
-            return 2 * core.stream().filter(holders::contains).count() > core.size();
-        }
-    }
 
     private final NodeSettings settings;
     private final EventLoop loop;
@@ -107,16 +74,11 @@
     private final ServerRegistry registry;
     private final EdgeDirectory edges = new EdgeDirectory();
     private final PollHub polls;
+    private final RegistryService servers;
     private final AcceptorMaintenance maintenance;
     private final RoleElection election;
-    private final Map<Long, Holding> holdings = new HashMap<>();
-    private final Map<String, Integer> mismatches = new HashMap<>();
-
-    /** Servers whose drain a majority of the core holds. */
-    private final Set<String> heldDrains = new LinkedHashSet<>();
 
     private RegisterReplica register;
-    private long nextRequest = 1;
     private long nextBeatMs;
     private long lastBeatMs;
     private long nextMaintenanceMs;
@@ -137,6 +99,14 @@
         peers = new CorePeers(loop, self, incarnation, settings.peerPort(), CoreNode::now, contact);
         registry = new ServerRegistry(now(), settings.heartbeatMs());
         polls = new PollHub(incarnation, registry, edges, this, CoreNode::now);
+        servers =
+                new RegistryService(
+                        self,
+                        registry,
+                        peers,
+                        () -> register.acceptors(),
+                        this::isFenced,
+                        this::news);
         maintenance = new AcceptorMaintenance(settings.toleratedMachines());
         election =
                 new RoleElection(
@@ -170,8 +140,9 @@
         node.openRegister();
         try {
             loop.submit(node::begin).sync();
-            node.listen(group, settings.control().orElseThrow().socketAddress(), node::initControl);
-            node.listen(
+            Listeners.listen(
+                    group, settings.control().orElseThrow().socketAddress(), node::initControl);
+            Listeners.listen(
                     group,
                     new HostPort(settings.ip(), settings.peerPort()).socketAddress(),
                     channel -> RecordChannel.install(channel.pipeline(), node.receiver()));
@@ -239,25 +210,6 @@
         loop.scheduleWithFixedDelay(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void listen(EventLoopGroup group, InetSocketAddress at, Consumer<Channel> init)
-            throws InterruptedException {
-        new ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, 256)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(
-                        new ChannelInitializer<Channel>() {
-                            @Override
-                            protected void initChannel(Channel channel) {
-                                init.accept(channel);
-                            }
-                        })
-                .bind(at)
-                .sync();
-    }
-
     private void initControl(Channel channel) {
         channel.pipeline()
                 .addLast(
@@ -274,12 +226,9 @@
             peers.tick(now);
             register.tick(now);
             watchQuorum(now);
-            if (registry.tick(now)) {
-                news();
-            }
+            servers.tick(now);
             edges.tick(now);
             polls.tick(now);
-            expireHoldings(now);
             if (now >= nextBeatMs) {
                 beat(now);
             }
@@ -308,25 +257,11 @@
         } else if (!fenced && before) {
             LOG.info("in contact with a quorum");
             if (now - fencedSinceMs > REGISTRY_STALE_MS) {
-                // Meanwhile servers may have come and gone elsewhere.
-                registry.restart(now);
-                peers.sendToAll(new Message.FetchRegistry());
+                servers.catchUp(now);
             }
         }
     }
 
-    private void expireHoldings(long now) {
-        holdings.entrySet()
-                .removeIf(
-                        entry -> {
-                            boolean late = now >= entry.getValue().untilMs;
-                            if (late) {
-                                entry.getValue().end.accept(false);
-                            }
-                            return late;
-                        });
-    }
-
     private void beat(long now) {
         List<EdgeLease> leases = edges.drainDirect(now, lastBeatMs);
         lastBeatMs = now;
@@ -426,22 +361,16 @@
                                             sender,
                                             new Message.Learn(chosen.ballot(), chosen.value())));
         } else if (message instanceof Message.ServersChanged changed) {
-            takeIn(now, changed.servers());
+            servers.takeIn(now, changed.servers());
             if (changed.request() != 0) {
                 peers.send(sender, new Message.ServersHeld(changed.request()));
             }
         } else if (message instanceof Message.ServersHeld held) {
-            held(sender, held.request());
+            servers.held(sender, held.request());
         } else if (message instanceof Message.FetchRegistry) {
-            peers.send(
-                    sender,
-                    new Message.RegistrySnapshot(
-                            !isFenced() && registry.isComplete(now), registry.all()));
+            peers.send(sender, servers.snapshot(now));
         } else if (message instanceof Message.RegistrySnapshot snapshot) {
-            takeIn(now, snapshot.servers());
-            if (snapshot.complete()) {
-                registry.markComplete(now);
-            }
+            servers.takeIn(now, snapshot);
         }
     }
 
@@ -455,29 +384,8 @@
                 || beat.revision() == known && beat.chosen().compareTo(ballot) > 0) {
             peers.send(sender, new Message.FetchValue());
         }
-        beat.heard().forEach(heard -> registry.heard(now, heard.id(), heard.sequence()));
         beat.edges().forEach(edge -> edges.relayed(now, edge));
-        boolean differs = beat.registryDigest() != registry.digest();
-        int times = differs ? mismatches.merge(sender, 1, Integer::sum) : 0;
-        if (!differs) {
-            mismatches.remove(sender);
-        }
-        if (times > DIGEST_MISMATCHES || !registry.isComplete(now) && beat.registryComplete()) {
-            mismatches.remove(sender);
-            peers.send(sender, new Message.FetchRegistry());
-        }
-    }
-
-    private void takeIn(long now, List<ServerRecord> servers) {
-        boolean changed = false;
-        for (ServerRecord server : servers) {
-            if (server.state() != ServerState.EXPIRED) {
-                changed |= registry.apply(now, server);
-            }
-        }
-        if (changed) {
-            news();
-        }
+        servers.compare(now, sender, beat);
     }
 
     private void news() {
@@ -495,84 +403,12 @@
 
     @Override
     public void register(ServerRecord server, Consumer<Boolean> acknowledged) {
-        long now = now();
-        if (isFenced()) {
-            acknowledged.accept(false);
-            return;
-        }
-        boolean drains = server.state() == ServerState.DRAINING;
-        if (registry.apply(now, server)) {
-            LOG.info(
-                    "server {} of {} at {} is {}",
-                    server.id(),
-                    server.backend(),
-                    server.address(),
-                    server.state());
-            news();
-            if (!drains) {
-                spread(now, List.of(server), done -> {});
-            }
-        }
-        if (drains && !heldDrains.contains(server.id())) {
-            spread(
-                    now,
-                    List.of(server),
-                    held -> {
-                        if (held) {
-                            rememberDrain(server.id());
-                        }
-                        acknowledged.accept(held);
-                    });
-        } else {
-            acknowledged.accept(true);
-        }
-    }
-
-    private void rememberDrain(String id) {
-        heldDrains.add(id);
-        if (heldDrains.size() > MOST_DRAINS) {
-            heldDrains.remove(heldDrains.iterator().next());
-        }
+        servers.register(now(), server, acknowledged);
     }
 
     @Override
     public void leave(String id, Consumer<Boolean> acknowledged) {
-        long now = now();
-        if (isFenced()) {
-            acknowledged.accept(false);
-            return;
-        }
-        Optional<ServerRecord> left = registry.leave(now, id);
-        if (left.isEmpty()) {
-            acknowledged.accept(true);
-            return;
-        }
-        LOG.info("server {} of {} has left", id, left.get().backend());
-        news();
-        spread(now, List.of(left.get()), acknowledged);
-    }
-
-    /** Tells the other core processes, and ends once a majority holds it. */
-    private void spread(long now, List<ServerRecord> servers, Consumer<Boolean> end) {
-        Set<String> core = new HashSet<>(peers.inContact(now, CONTACT_MS));
-        core.addAll(register.acceptors().everyone());
-        Holding holding = new Holding(core, end, now + HOLD_LIMIT_MS);
-        long request = nextRequest++;
-        holdings.put(request, holding);
-        peers.sendToAll(new Message.ServersChanged(request, servers));
-        held(self, request);
-    }
-
-    private void held(String holder, long request) {
-        Holding holding = holdings.get(request);
-        if (holding == null) {
-            return;
-        }
-        holding.holders.add(holder);
-        if (holding.isHeld()) {
-            holdings.remove(request);
-            holding.end.accept(true);
-        }
+        servers.leave(now(), id, acknowledged);
     }
 
     // ---- operators ----
--- a/system/src/main/java/poppynotch/control/EdgeDirectory.java
+++ b/system/src/main/java/poppynotch/control/EdgeDirectory.java
@@ -1,6 +1,7 @@
 package poppynotch.control;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,7 @@
     private static final long LEASE_MS = 3000;
 
     private static final long FORGET_MS = 60_000;
+    private static final long REFRESH_MS = 100;
 
     /** A view of an edge's place among all. */
     public record Place(int edges, int number) {}
@@ -40,6 +42,9 @@
     }
 
     private final Map<String, Edge> edges = new TreeMap<>();
+    private List<String> present = List.of();
+    private List<String> addresses = List.of();
+    private long refreshAtMs = Long.MIN_VALUE;
     private final Map<String, Total> totals = new HashMap<>();
     private long version;
 
@@ -73,6 +78,9 @@
     }
 
     private Edge edge(String name, long incarnation) {
+        if (!edges.containsKey(name)) {
+            refreshAtMs = Long.MIN_VALUE;
+        }
         Edge edge = edges.computeIfAbsent(name, key -> new Edge());
         if (edge.incarnation != incarnation) {
             edge.incarnation = incarnation;
@@ -118,34 +126,44 @@
 
     /** How many edges there are, and which of them one is, in the order of their names. */
     public Place place(long nowMs, String name) {
-        int count = 0;
-        int number = 0;
-        for (Map.Entry<String, Edge> entry : edges.entrySet()) {
-            if (nowMs - entry.getValue().renewedMs <= LEASE_MS) {
-                if (entry.getKey().compareTo(name) < 0) {
-                    number++;
-                }
-                count++;
-            }
-        }
-        return new Place(Math.max(1, count), number);
+        refresh(nowMs);
+        int found = Collections.binarySearch(present, name);
+        return new Place(Math.max(1, present.size()), found >= 0 ? found : -found - 1);
     }
 
     /** Names of the edges whose leases hold. */
     public List<String> present(long nowMs) {
-        return edges.entrySet().stream()
-                .filter(entry -> nowMs - entry.getValue().renewedMs <= LEASE_MS)
-                .map(Map.Entry::getKey)
-                .toList();
+        refresh(nowMs);
+        return present;
     }
 
-    /** Where the edges whose leases hold take datagrams. */
+    /** Where the edges whose leases hold take datagrams; the same list while it has not changed. */
     public List<String> addresses(long nowMs) {
-        return edges.values().stream()
-                .filter(edge -> nowMs - edge.renewedMs <= LEASE_MS)
-                .map(edge -> edge.address)
-                .filter(address -> !address.isEmpty())
-                .toList();
+        refresh(nowMs);
+        return addresses;
+    }
+
+    /** Walks through the leases now and then, not for each question. */
+    private void refresh(long nowMs) {
+        if (nowMs < refreshAtMs) {
+            return;
+        }
+        refreshAtMs = nowMs + REFRESH_MS;
+        List<String> names = new ArrayList<>();
+        List<String> places = new ArrayList<>();
+        edges.forEach(
+                (name, edge) -> {
+                    if (nowMs - edge.renewedMs <= LEASE_MS) {
+                        names.add(name);
+                        if (!edge.address.isEmpty()) {
+                            places.add(edge.address);
+                        }
+                    }
+                });
+        present = names;
+        if (!places.equals(addresses)) {
+            addresses = places;
+        }
     }
 
     /** Grows with each change of a total. */
--- a/system/src/main/java/poppynotch/control/PollHub.java
+++ b/system/src/main/java/poppynotch/control/PollHub.java
@@ -129,7 +129,7 @@
         List<Usage> usage = edges.totalsSince(whole ? 0 : toldUsage.getOrDefault(to, 0L));
         toldUsage.put(to, edges.usageVersion());
         List<String> addresses = edges.addresses(now);
-        boolean sameEdges = addresses.equals(toldEdges.put(to, addresses));
+        boolean sameEdges = addresses == toldEdges.put(to, addresses);
         RecordChannel.send(
                 to,
                 new Message.PollReply(
--- a/system/src/main/java/poppynotch/pool/PooledServer.java
+++ b/system/src/main/java/poppynotch/pool/PooledServer.java
@@ -1,6 +1,8 @@
 package poppynotch.pool;
 
 import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Map;
 import poppynotch.wire.PromptPart;
 import poppynotch.wire.ServerRecord;
 
@@ -15,6 +17,11 @@
 
     private static final int MOST_DOUBLINGS = 5;
 
+    /** Weight of a call in the part that fails, and how fast that part fades. */
+    private static final double FAILURE_GAIN = 0.15;
+
+    private static final double FAILURE_FADE_MS = 4000;
+
     /** A server's word on its load counts for so long. */
     private static final long REPORT_MS = 1500;
 
@@ -34,6 +41,9 @@
     private ServerRecord server;
     private final long hash;
     private final BitSet busy = new BitSet();
+    private final Map<Integer, Long> discardedUntilMs = new HashMap<>();
+    private double failureShare;
+    private long failureMs;
     private final PromptCache cache;
     private int failures;
     private long pausedUntilMs = Long.MIN_VALUE;
@@ -102,8 +112,25 @@
         return busy.cardinality();
     }
 
-    int lowestFree() {
-        return busy.nextClearBit(0);
+    /** The lowest slot that is neither in use nor discarded. */
+    int lowestFree(long nowMs) {
+        discardedUntilMs.values().removeIf(until -> nowMs >= until);
+        int number = busy.nextClearBit(0);
+        while (discardedUntilMs.containsKey(number)) {
+            number = busy.nextClearBit(number + 1);
+        }
+        return number;
+    }
+
+    /** The part of late calls that failed, which fades while the server gets none. */
+    double failureShare(long nowMs) {
+        return failureShare * Math.exp(-Math.max(0, nowMs - failureMs) / FAILURE_FADE_MS);
+    }
+
+    private void countEnd(boolean failed, long nowMs) {
+        double faded = failureShare(nowMs);
+        failureShare = faded + FAILURE_GAIN * ((failed ? 1 : 0) - faded);
+        failureMs = nowMs;
     }
 
     boolean isPaused(long nowMs) {
@@ -112,7 +139,7 @@
 
     /** After a failure one call at a time shows whether the server is back. */
     boolean isOnTrial() {
-        return failures > 0;
+        return failures > 1;
     }
 
     long backlogTokens() {
@@ -197,8 +224,24 @@
             case SERVED -> {
                 failures = 0;
                 lastAnswerMs = nowMs;
+                countEnd(false, nowMs);
+            }
+            case ERROR -> {
+                failures = 0;
+                lastAnswerMs = nowMs;
+                countEnd(true, nowMs);
+            }
+            case FAILED -> {
+                countEnd(true, nowMs);
+                discardedUntilMs.put(slot.number(), nowMs + FIRST_PAUSE_MS);
+                if (failures++ > 0) {
+                    pause(nowMs);
+                }
+            }
+            case UNREACHABLE, SILENT -> {
+                countEnd(true, nowMs);
+                pause(nowMs);
             }
-            case UNREACHABLE, FAILED, SILENT -> pause(nowMs);
             case REFUSED, CANCELLED -> {}
             default -> throw new IllegalStateException("an end of a slot: " + end);
         }
@@ -206,8 +249,9 @@
 
     void pause(long nowMs) {
         if (nowMs >= pausedUntilMs) {
-            pausedUntilMs = nowMs + (FIRST_PAUSE_MS << Math.min(failures, MOST_DOUBLINGS));
-            failures++;
+            pausedUntilMs =
+                    nowMs + (FIRST_PAUSE_MS << Math.min(Math.max(0, failures - 1), MOST_DOUBLINGS));
+            failures = Math.max(failures, 1) + 1;
         }
     }
 }
--- a/system/src/main/java/poppynotch/pool/ServerPool.java
+++ b/system/src/main/java/poppynotch/pool/ServerPool.java
@@ -1,8 +1,10 @@
 package poppynotch.pool;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import poppynotch.config.Backend;
@@ -38,11 +40,16 @@
 
     private static final double MS_PER_WAITING = 60;
 
+    /** What it costs all others, in ms, that a token is read anew which another server keeps. */
+    private static final double MS_PER_TOKEN_AGAIN = 0.02;
+
     /**
      * The part of the shared tokens that the home of a prompt is taken to keep though it was not
-     * seen.
+     * seen: little where every sidecar hears of all prompts.
      */
-    private static final double HOME_TRUST = 0.2;
+    private static final double HOME_TRUST_HEARD = 0.2;
+
+    private static final double HOME_TRUST_UNHEARD = 0.8;
 
     /** A waiting call at a server without a model is as bad as so many rounds of ranks. */
     private static final double ROUNDS_PER_WAITING = 2;
@@ -50,6 +57,11 @@
     /** Another zone costs a call without a model so many rounds of ranks. */
     private static final double ROUNDS_ACROSS_ZONES = 0.5;
 
+    /** What a server that fails all its calls is ranked behind others by. */
+    private static final double ROUNDS_PER_FAILURE = 8;
+
+    private static final double MS_PER_FAILURE = 1500;
+
     /** Where a rank decides between equal costs, in ms a round. */
     private static final double MS_PER_ROUND = 1;
 
@@ -67,6 +79,7 @@
     private int edges = 1;
     private int number;
     private int inUse;
+    private double homeTrust = HOME_TRUST_HEARD;
 
     /** An empty pool of a sidecar in {@code zone}. */
     public ServerPool(Backend backend, String zone) {
@@ -79,10 +92,15 @@
         backend = newer;
     }
 
-    /** How many sidecars there are, and which of them this one is. */
-    public void place(int sidecars, int ownNumber) {
+    /**
+     * How many sidecars there are, and which of them this one is.
+     *
+     * @param hearsAll whether this one hears of every prompt that others send
+     */
+    public void place(int sidecars, int ownNumber, boolean hearsAll) {
         edges = Math.max(1, sidecars);
         number = ownNumber;
+        homeTrust = hearsAll ? HOME_TRUST_HEARD : HOME_TRUST_UNHEARD;
     }
 
     /**
@@ -113,33 +131,51 @@
         if (inUse >= CEILING) {
             return new Acquired.Full();
         }
-        PooledServer home = home(call);
-        PooledServer best = null;
-        double bestRank = Double.MAX_VALUE;
+        List<PooledServer> free = new ArrayList<>();
         boolean any = false;
         for (PooledServer server : servers.values()) {
-            if (excluded.contains(server.id())) {
-                continue;
-            }
-            any = true;
-            if (server.isPaused(nowMs) || server.busy() >= slotsOn(server)) {
-                continue;
-            }
-            double rank = rank(nowMs, call, server, server == home);
-            if (rank < bestRank || rank == bestRank && server.hash() < best.hash()) {
-                bestRank = rank;
-                best = server;
+            if (!excluded.contains(server.id())) {
+                any = true;
+                if (!server.isPaused(nowMs) && server.busy() < slotsOn(server)) {
+                    free.add(server);
+                }
             }
         }
-        if (best == null) {
+        if (free.isEmpty()) {
             return any ? new Acquired.Full() : new Acquired.Nobody();
         }
+        PooledServer best = lowestRanked(nowMs, call, free);
         Slot slot = new Slot(nowMs, best, call, freshTokens(call, best, false));
         best.take(nowMs, slot);
         inUse++;
         return new Acquired.Granted(slot);
     }
 
+    private PooledServer lowestRanked(long nowMs, CallProfile call, List<PooledServer> free) {
+        PooledServer home = home(call);
+        int mostKept = 0;
+        if (backend.hasEngine()) {
+            for (PooledServer server : free) {
+                mostKept = Math.max(mostKept, server.cache().keptTokens(call.parts()));
+            }
+        }
+        PooledServer best = null;
+        double bestRank = Double.MAX_VALUE;
+        for (PooledServer server : free) {
+            double rank =
+                    backend.hasEngine()
+                            ? modelRank(nowMs, call, server, server == home, mostKept)
+                            : plainRank(nowMs, server);
+            if (best == null
+                    || rank < bestRank
+                    || rank == bestRank && server.hash() < best.hash()) {
+                bestRank = rank;
+                best = server;
+            }
+        }
+        return best;
+    }
+
     private int slotsOn(PooledServer server) {
         if (server.isOnTrial()) {
             return 1;
@@ -174,25 +210,37 @@
         return mixed ^ mixed >>> 31;
     }
 
-    private double rank(long nowMs, CallProfile call, PooledServer server, boolean isHome) {
-        double own = server.lowestFree() * (double) edges + (number + server.hash()) % edges;
-        if (!backend.hasEngine()) {
-            double across = server.record().zone().equals(zone) ? 0 : ROUNDS_ACROSS_ZONES * edges;
-            return own + across + server.waiting(nowMs) * ROUNDS_PER_WAITING * edges;
-        }
+    /** The design's rank of the next slot on a server. */
+    private double slotRank(long nowMs, PooledServer server) {
+        return server.lowestFree(nowMs) * (double) edges + (number + server.hash()) % edges;
+    }
+
+    private double plainRank(long nowMs, PooledServer server) {
+        double across = server.record().zone().equals(zone) ? 0 : ROUNDS_ACROSS_ZONES * edges;
+        return slotRank(nowMs, server)
+                + across
+                + server.waiting(nowMs) * ROUNDS_PER_WAITING * edges
+                + server.failureShare(nowMs) * ROUNDS_PER_FAILURE * edges;
+    }
+
+    private double modelRank(
+            long nowMs, CallProfile call, PooledServer server, boolean isHome, int mostKept) {
         double full = server.heldTokens() > MEMORY_SHARE * backend.kvTokens() ? FULL_MS : 0;
+        int readAgain = Math.max(0, mostKept - server.cache().keptTokens(call.parts()));
         return server.readingMs(nowMs, freshTokens(call, server, isHome))
+                + MS_PER_TOKEN_AGAIN * readAgain
                 + MS_PER_RUNNING * (server.busy() + server.othersRunning(nowMs))
                 + MS_PER_WAITING * server.waiting(nowMs)
-                + own / edges * MS_PER_ROUND
+                + slotRank(nowMs, server) / edges * MS_PER_ROUND
+                + server.failureShare(nowMs) * MS_PER_FAILURE
                 + full;
     }
 
-    private static int freshTokens(CallProfile call, PooledServer server, boolean isHome) {
+    private int freshTokens(CallProfile call, PooledServer server, boolean isHome) {
         int kept = server.cache().keptTokens(call.parts());
         if (isHome && call.parts().size() > 1) {
             int own = call.parts().get(call.parts().size() - 1).tokens();
-            kept = Math.max(kept, (int) (HOME_TRUST * (call.promptTokens() - own)));
+            kept = Math.max(kept, (int) (homeTrust * (call.promptTokens() - own)));
         }
         return Math.max(0, call.promptTokens() - kept);
     }
--- a/system/src/main/java/poppynotch/pool/Slot.java
+++ b/system/src/main/java/poppynotch/pool/Slot.java
@@ -26,7 +26,7 @@
 
     Slot(long nowMs, PooledServer server, CallProfile call, int freshTokens) {
         this.server = server;
-        number = server.lowestFree();
+        number = server.lowestFree(nowMs);
         takenMs = nowMs;
         expectedMs = server.readingMs(nowMs, freshTokens);
         rateThen = server.tokensPerMs();
--- a/system/src/main/java/poppynotch/pool/SlotEnd.java
+++ b/system/src/main/java/poppynotch/pool/SlotEnd.java
@@ -4,6 +4,8 @@
 public enum SlotEnd {
     /** The server answered. */
     SERVED,
+    /** The server answered that it failed. */
+    ERROR,
     /** The server said that it did not run the call as it is full. */
     REFUSED,
     /** No connection came up. */
--- a/system/src/main/java/poppynotch/router/EdgeNode.java
+++ b/system/src/main/java/poppynotch/router/EdgeNode.java
@@ -1,16 +1,12 @@
 package poppynotch.router;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpRequest;
@@ -27,7 +23,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -41,6 +37,7 @@
 import poppynotch.register.RegisterValue;
 import poppynotch.settings.HostPort;
 import poppynotch.settings.NodeSettings;
+import poppynotch.transport.Listeners;
 import poppynotch.wire.Message;
 import poppynotch.wire.ServerRecord;
 
@@ -61,6 +58,7 @@
     private static final long KILL_MARGIN_MS = 300;
 
     private final NodeSettings settings;
+    private final Function<byte[], ConfigResult> configReader;
     private final EventLoop loop;
     private final FleetState state;
     private final UpstreamConnections connections;
@@ -76,7 +74,9 @@
     private long drainingSinceMs;
     private long nextSweepMs;
 
-    private EdgeNode(NodeSettings settings, EventLoop loop) {
+    private EdgeNode(
+            NodeSettings settings, EventLoop loop, Function<byte[], ConfigResult> configReader) {
+        this.configReader = configReader;
         this.settings = settings;
         this.loop = loop;
         state = new FleetState(settings);
@@ -87,15 +87,26 @@
 
     /** Starts an edge; an exception says plainly why it can't. */
     public static EdgeNode start(NodeSettings settings, EventLoopGroup group) throws IOException {
+        return start(
+                settings, group, document -> ConfigReader.read(DocumentCodec.decode(document)));
+    }
+
+    /** Starts an edge that reads encoded configurations in a way of its own, as trials do. */
+    public static EdgeNode start(
+            NodeSettings settings,
+            EventLoopGroup group,
+            Function<byte[], ConfigResult> configReader)
+            throws IOException {
         InetSocketAddress front =
                 settings.front()
                         .orElseThrow(() -> new IllegalArgumentException("Bind.Front is missing"))
                         .socketAddress();
-        EdgeNode node = new EdgeNode(settings, (EventLoop) group.next());
+        EdgeNode node = new EdgeNode(settings, (EventLoop) group.next(), configReader);
         try {
-            node.listen(group, front, node::initClient);
+            Listeners.listen(group, front, node::initClient);
             if (settings.readiness().isPresent()) {
-                node.listen(group, settings.readiness().get().socketAddress(), node::initReadiness);
+                Listeners.listen(
+                        group, settings.readiness().get().socketAddress(), node::initReadiness);
             }
             node.peers.listen(node.loop);
             node.loop
@@ -112,25 +123,6 @@
         return node;
     }
 
-    private void listen(EventLoopGroup group, InetSocketAddress at, Consumer<Channel> init)
-            throws InterruptedException {
-        new ServerBootstrap()
-                .group(group)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, 1024)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childHandler(
-                        new ChannelInitializer<Channel>() {
-                            @Override
-                            protected void initChannel(Channel channel) {
-                                init.accept(channel);
-                            }
-                        })
-                .bind(at)
-                .sync();
-    }
-
     private void initClient(Channel channel) {
         channel.pipeline()
                 .addLast(
@@ -239,7 +231,7 @@
 
     @Override
     public void value(RegisterValue value) {
-        ConfigResult read = ConfigReader.read(DocumentCodec.decode(value.document()));
+        ConfigResult read = configReader.apply(value.document());
         if (read instanceof ConfigResult.Valid valid) {
             revision = value.revision();
             state.configure(now(), valid.config());
--- a/system/src/main/java/poppynotch/router/EdgePeers.java
+++ b/system/src/main/java/poppynotch/router/EdgePeers.java
@@ -11,6 +11,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import poppynotch.settings.HostPort;
@@ -26,9 +27,15 @@
     /** Datagrams longer than this are not sent: networks would cut them in pieces. */
     private static final int MOST_BYTES = 1400;
 
-    /** More edges than this are not told: the cost of a prompt would grow with the fleet. */
+    /** Up to so many other edges are all told. */
     private static final int MOST_PEERS = 64;
 
+    /**
+     * Of more, those that follow in a ring of addresses: the cost of a prompt must not grow with
+     * the fleet.
+     */
+    private static final int RING_PEERS = 24;
+
     private final HostPort own;
     private final Consumer<Message.PromptSent> receiver;
     private Channel channel;
@@ -77,13 +84,31 @@
     /** The addresses of all edges, this one included. */
     void know(List<String> addresses) {
         peers =
-                addresses.stream()
-                        .filter(address -> !address.equals(own.toString()))
-                        .limit(MOST_PEERS)
+                told(own.toString(), addresses).stream()
                         .map(address -> HostPort.parse(address).socketAddress())
                         .toList();
     }
 
+    /** Whether an edge hears of all prompts in a fleet of that size. */
+    static boolean hearAll(int edges) {
+        return edges - 1 <= MOST_PEERS;
+    }
+
+    /** The edges that one edge tells. */
+    static List<String> told(String self, List<String> addresses) {
+        List<String> ring =
+                addresses.stream().filter(address -> !address.equals(self)).sorted().toList();
+        if (ring.size() <= MOST_PEERS) {
+            return ring;
+        }
+        int next = (int) ring.stream().filter(address -> address.compareTo(self) < 0).count();
+        List<String> told = new ArrayList<>(RING_PEERS);
+        for (int i = 0; i < RING_PEERS; i++) {
+            told.add(ring.get((next + i) % ring.size()));
+        }
+        return told;
+    }
+
     void send(Message.PromptSent sent) {
         byte[] record = MessageCodec.encode(sent);
         if (record.length <= MOST_BYTES) {
--- a/system/src/main/java/poppynotch/router/Exchange.java
+++ b/system/src/main/java/poppynotch/router/Exchange.java
@@ -428,7 +428,7 @@
             ByteBuf whole = body;
             body = null;
             mayHaveRun = true;
-            finish(SlotEnd.SERVED);
+            finish(serverError ? SlotEnd.ERROR : SlotEnd.SERVED);
             if (serverError && route.isIdempotent() && !headSent && maySendAgain()) {
                 whole.release();
                 send();
--- a/system/src/main/java/poppynotch/router/FleetState.java
+++ b/system/src/main/java/poppynotch/router/FleetState.java
@@ -56,7 +56,7 @@
             ServerPool pool = pools.get(backend.name());
             if (pool == null) {
                 pool = new ServerPool(backend, settings.zone());
-                pool.place(edges, number);
+                pool.place(edges, number, EdgePeers.hearAll(edges));
                 pools.put(backend.name(), pool);
             }
             pool.configure(backend);
@@ -89,7 +89,7 @@
         if (all != edges || ownNumber != number) {
             edges = all;
             number = ownNumber;
-            pools.values().forEach(pool -> pool.place(all, ownNumber));
+            pools.values().forEach(pool -> pool.place(all, ownNumber, EdgePeers.hearAll(all)));
             budgets.values().forEach(budget -> budget.place(all, false));
         }
     }
--- a/system/src/main/java/poppynotch/router/UpstreamConnections.java
+++ b/system/src/main/java/poppynotch/router/UpstreamConnections.java
@@ -55,6 +55,7 @@
     private final EventLoop loop;
     private final LongSupplier clock;
     private final Bootstrap bootstrap;
+    private final IdleTrust idleTrust = new IdleTrust();
     private final Map<String, Deque<Connection>> idle = new HashMap<>();
 
     UpstreamConnections(EventLoop loop, LongSupplier clock) {
@@ -79,6 +80,7 @@
             connection.begin(request, listener);
             connection.connect(address);
         } else {
+            connection.restedMs = clock.getAsLong() - connection.idleSinceMs;
             connection.begin(request, listener);
             connection.write();
         }
@@ -90,7 +92,11 @@
         long now = clock.getAsLong();
         while (kept != null && !kept.isEmpty()) {
             Connection last = kept.pollLast();
-            if (now < last.idleUntilMs && last.channel.isActive() && !last.decoder.holdsMore()) {
+            boolean trusted = now - last.idleSinceMs <= idleTrust.trustedMs(now);
+            if (trusted
+                    && now < last.idleUntilMs
+                    && last.channel.isActive()
+                    && !last.decoder.holdsMore()) {
                 return last;
             }
             last.channel.close();
@@ -131,7 +137,12 @@
         /** What comes belongs to an earlier request. */
         private boolean surplus;
 
+        private long idleSinceMs;
         private long idleUntilMs;
+
+        /** How long it was idle before the present request; -1 for its first. */
+        private long restedMs = -1;
+
         private long keepMs = DEFAULT_IDLE_MS;
 
         Connection(String serverId) {
@@ -295,7 +306,8 @@
         }
 
         private void keep() {
-            idleUntilMs = clock.getAsLong() + keepMs;
+            idleSinceMs = clock.getAsLong();
+            idleUntilMs = idleSinceMs + keepMs;
             if (keepMs > 0) {
                 idle.computeIfAbsent(serverId, key -> new ArrayDeque<>()).addLast(this);
             } else {
@@ -312,6 +324,9 @@
             if (channel != null && channel.isOpen()) {
                 channel.close();
             }
+            if (listener != null && head == null && restedMs >= 0) {
+                idleTrust.droppedAfter(clock.getAsLong(), restedMs);
+            }
             fail(UpstreamListener.Failure.BROKEN);
         }
 
--- a/system/src/main/java/poppynotch/scale/ScaleRun.java
+++ b/system/src/main/java/poppynotch/scale/ScaleRun.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import poppynotch.config.ConfigResult;
 import poppynotch.router.EdgeNode;
 import poppynotch.settings.Bounds;
 import poppynotch.settings.HostPort;
@@ -38,6 +39,8 @@
     private static final int CHANGES = 12;
     private static final int BURST = 10;
     private static final long BURST_GAP_MS = 300;
+    private static final int READINGS = 20;
+    private static final double MS_PER_S = 1000;
     private static final double MB = 1e6;
     private static final Bounds BOUNDS =
             new Bounds(3000, 4000, 2000, 8000, 2000, 0.2, 50, 10_000, 100_000, 8000);
@@ -47,6 +50,7 @@
             int edges, int servers, int tenants, int routes, int cores, int idleSeconds) {}
 
     private final Plan plan;
+    private final SharedReader reader = new SharedReader();
     private final Figures figures;
     private final Path folder;
     private final CoreProcesses cores;
@@ -71,7 +75,7 @@
         servers = new HollowServers(controls, plan.servers(), HEARTBEAT_MS);
         int frontPort = freePort();
         for (int i = 0; i < plan.edges(); i++) {
-            edges.add(EdgeNode.start(settings(i, frontPort, peerPort), loops));
+            edges.add(EdgeNode.start(settings(i, frontPort, peerPort), loops, reader));
         }
     }
 
@@ -113,6 +117,7 @@
         figures.value("start.fleet.all_serve", "s", plan.edges(), secondsSince(began));
         TimeUnit.SECONDS.sleep(3);
         idle();
+        costOfReading();
         changes();
         burst();
         endOfServer();
@@ -236,8 +241,31 @@
 
     private double heapPerEdge() {
         System.gc();
+        return usedBytes() / MB / plan.edges();
+    }
+
+    /** What each real edge does for itself, and hollow ones share. */
+    private void costOfReading() {
+        byte[] document = reader.latest();
+        List<Double> took = new ArrayList<>();
+        List<ConfigResult> kept = new ArrayList<>();
+        System.gc();
+        long before = usedBytes();
+        for (int i = 0; i < READINGS; i++) {
+            long began = System.nanoTime();
+            kept.add(SharedReader.read(document));
+            took.add(secondsSince(began) * MS_PER_S);
+        }
+        System.gc();
+        double bytes = (double) (usedBytes() - before) / kept.size();
+        figures.median("config.edge.reading", "ms", plan.edges(), took);
+        figures.value("config.edge.heap", "MB", plan.edges(), bytes / MB);
+        figures.value("config.edge.bytes", "B", plan.edges(), document.length);
+    }
+
+    private static long usedBytes() {
         Runtime runtime = Runtime.getRuntime();
-        return (runtime.totalMemory() - runtime.freeMemory()) / MB / plan.edges();
+        return runtime.totalMemory() - runtime.freeMemory();
     }
 
     private void changes() throws IOException, InterruptedException {
@@ -315,13 +343,13 @@
         }
     }
 
-    /** Runs all plans; the figures as JSON. */
-    public static String measureAll(List<Plan> plans, String command)
+    /** Runs all plans; after each the file holds the figures so far. */
+    public static void measureAll(List<Plan> plans, String command, Path out)
             throws IOException, InterruptedException {
         Figures figures = new Figures(command);
         for (Plan plan : plans) {
             measure(plan, figures);
+            Files.writeString(out, figures.json());
         }
-        return figures.json();
     }
 }
