Count what edges used before a core process started as no use of now

Ruled out: changed limits, the move of a poll, real use. EdgeDirectory takes the first word as the start of its count; EdgeDirectoryTest plays it.

--- a/system/src/main/java/poppynotch/control/EdgeDirectory.java
+++ b/system/src/main/java/poppynotch/control/EdgeDirectory.java
@@ -32,6 +32,12 @@
         /** Renewed at this core process itself, not only at others. */
         long directMs = Long.MIN_VALUE / 2;
 
+        /**
+         * It has told all of its use here since it, or this process, started: what is not in {@code
+         * used} was 0 then.
+         */
+        boolean whole;
+
         final Map<String, Long> used = new HashMap<>();
         final Map<String, Long> unrelayed = new HashMap<>();
     }
@@ -48,7 +54,9 @@
     private final Map<String, Total> totals = new HashMap<>();
     private long version;
 
-    /** An edge renews its lease here. */
+    /**
+     * An edge renews its lease here; the first time it tells all that it has used since its start.
+     */
     public void renew(
             long nowMs, String name, long incarnation, String address, List<Usage> usage) {
         Edge edge = edge(name, incarnation);
@@ -60,6 +68,7 @@
                 edge.unrelayed.put(item.tenant(), item.amount());
             }
         }
+        edge.whole = true;
     }
 
     /** Another core process tells of an edge's lease. */
@@ -84,6 +93,7 @@
         Edge edge = edges.computeIfAbsent(name, key -> new Edge());
         if (edge.incarnation != incarnation) {
             edge.incarnation = incarnation;
+            edge.whole = false;
             edge.used.clear();
             edge.unrelayed.clear();
         }
@@ -91,11 +101,16 @@
     }
 
     private boolean count(Edge edge, Usage item) {
-        long before = edge.used.getOrDefault(item.tenant(), 0L);
+        Long known = edge.used.get(item.tenant());
+        long before = known == null ? 0 : known;
         if (item.amount() <= before) {
             return false;
         }
         edge.used.put(item.tenant(), item.amount());
+        if (known == null && !edge.whole) {
+            // Used before this process could count: it is no use of now.
+            return true;
+        }
         Total total = totals.computeIfAbsent(item.tenant(), key -> new Total());
         total.amount += item.amount() - before;
         total.version = ++version;
