Tell fewer edges of fewer prompts, and wake up less often

Of more than 17 edges each tells 12, and no prompt with under 1,000 tokens to read is told. Ticks of edges every 100 ms, of core processes every 50 ms.

--- a/system/src/main/java/poppynotch/control/CoreNode.java
+++ b/system/src/main/java/poppynotch/control/CoreNode.java
@@ -43,7 +43,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(CoreNode.class);
     private static final AttributeKey<String> SENDER = AttributeKey.valueOf("sender");
     private static final int MOST_BODY = 8 * 1024 * 1024;
-    private static final int TICK_MS = 20;
+    private static final int TICK_MS = 50;
     private static final long BEAT_MS = 200;
 
     /** Without a quorum for so long, this process vouches for nothing. */
--- a/system/src/main/java/poppynotch/router/EdgeNode.java
+++ b/system/src/main/java/poppynotch/router/EdgeNode.java
@@ -48,7 +48,11 @@
     private static final int MAX_LINE = 8192;
     private static final int MAX_HEADER = 64 * 1024;
     private static final int MAX_CHUNK = 16 * 1024;
-    private static final int TICK_MS = 50;
+    private static final int TICK_MS = 100;
+
+    /** Prompts with less to read are not told to other edges: they cost a server little. */
+    private static final int TOLD_TOKENS = 1000;
+
     private static final long SWEEP_MS = 500;
 
     /** After SIGTERM the platform sends new connections for up to two of its probes more. */
@@ -277,7 +281,7 @@
 
     @Override
     public void announce(String backend, Slot slot) {
-        if (!slot.parts().isEmpty()) {
+        if (slot.freshTokens() >= TOLD_TOKENS) {
             peers.send(
                     new Message.PromptSent(
                             slot.serverId(), backend, slot.freshTokens(), slot.parts()));
--- a/system/src/main/java/poppynotch/router/EdgePeers.java
+++ b/system/src/main/java/poppynotch/router/EdgePeers.java
@@ -28,13 +28,13 @@
     private static final int MOST_BYTES = 1400;
 
     /** Up to so many other edges are all told. */
-    private static final int MOST_PEERS = 64;
+    private static final int MOST_PEERS = 16;
 
     /**
      * Of more, those that follow in a ring of addresses: the cost of a prompt must not grow with
      * the fleet.
      */
-    private static final int RING_PEERS = 24;
+    private static final int RING_PEERS = 12;
 
     private final HostPort own;
     private final Consumer<Message.PromptSent> receiver;
