--- a/system/src/main/java/poppynotch/control/ControlApi.java
+++ b/system/src/main/java/poppynotch/control/ControlApi.java
@@ -21,6 +21,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import poppynotch.config.ConfigReader;
+import poppynotch.settings.HostPort;
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.ServerState;
 
@@ -154,6 +155,7 @@
         } catch (JsonException
                 | IllegalStateException
                 | ClassCastException
+                | IllegalArgumentException
                 | NullPointerException e) {
             end.accept(problem(HttpResponseStatus.BAD_REQUEST, "not a registration"));
             return;
@@ -163,6 +165,8 @@
 
     private static ServerRecord server(String id, JsonObject body) {
         boolean draining = body.getString("State", "ready").equals("draining");
+        // An address that can't be used is refused here, not found out at every edge.
+        HostPort.parse(body.getString("Address")).socketAddress();
         return new ServerRecord(
                 id,
                 body.getString("Backend"),
--- a/system/src/main/java/poppynotch/router/ClientConnection.java
+++ b/system/src/main/java/poppynotch/router/ClientConnection.java
@@ -267,9 +267,6 @@
 
     @Override
     public void whole(HttpResponseStatus status, HttpHeaders headers, ByteBuf content) {
-        HttpUtil.setContentLength(
-                new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers),
-                content.readableBytes());
         headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         write(
                 new DefaultFullHttpResponse(
--- a/system/src/main/java/poppynotch/router/EdgeNode.java
+++ b/system/src/main/java/poppynotch/router/EdgeNode.java
@@ -235,9 +235,10 @@
 
     @Override
     public void value(RegisterValue value) {
+        // Also one that can't be read is not to be sent again and again.
+        revision = value.revision();
         ConfigResult read = configReader.apply(value.document());
         if (read instanceof ConfigResult.Valid valid) {
-            revision = value.revision();
             state.configure(now(), valid.config());
             inForce = value.generation();
             LOG.info("in force: {}", value);
--- /dev/null
+++ b/system/src/test/java/poppynotch/control/ControlApiTest.java
@@ -0,0 +1,147 @@
+package poppynotch.control;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import poppynotch.wire.ServerRecord;
+import poppynotch.wire.ServerState;
+
+/** What servers and operators are answered, and that bad input changes nothing. */
+class ControlApiTest {
+
+    private static final String GOOD = "{\"Generation\":1,\"Routes\":[],\"Backends\":[]}";
+
+    /** Takes note of calls, and answers each as it is told. */
+    private static final class Noted implements ControlApi.Service {
+        final List<ServerRecord> registered = new ArrayList<>();
+        final List<String> left = new ArrayList<>();
+        int changes;
+        OrderResult result = new OrderResult.Taken(1);
+        boolean acknowledges = true;
+
+        @Override
+        public void change(ConfigOrder order, Consumer<OrderResult> end) {
+            changes++;
+            end.accept(result);
+        }
+
+        @Override
+        public void readConfig(Consumer<ControlApi.Answer> end) {
+            end.accept(
+                    ControlApi.Answer.of(io.netty.handler.codec.http.HttpResponseStatus.OK, GOOD));
+        }
+
+        @Override
+        public void register(ServerRecord server, Consumer<Boolean> acknowledged) {
+            registered.add(server);
+            acknowledged.accept(acknowledges);
+        }
+
+        @Override
+        public void leave(String id, Consumer<Boolean> acknowledged) {
+            left.add(id);
+            acknowledged.accept(acknowledges);
+        }
+
+        @Override
+        public String status() {
+            return "{}";
+        }
+    }
+
+    private final Noted service = new Noted();
+
+    private int call(HttpMethod method, String uri, String match, String body) {
+        EmbeddedChannel channel = new EmbeddedChannel(new ControlApi(service));
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        method,
+                        uri,
+                        Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        if (match != null) {
+            request.headers().set(HttpHeaderNames.IF_MATCH, match);
+        }
+        channel.writeInbound(request);
+        FullHttpResponse response = channel.readOutbound();
+        String text = response.content().toString(StandardCharsets.UTF_8);
+        assertWithMessage("lines of the answer").that(text.lines().count()).isEqualTo(1);
+        return response.status().code();
+    }
+
+    private int register(String body) {
+        return call(HttpMethod.PUT, "/poppynotch/instances/i-1", null, body);
+    }
+
+    @Test
+    void aServerRegistersDrainsAndLeaves() {
+        String body =
+                "{\"Backend\":\"s\",\"Address\":\"10.0.0.1:80\",\"Slots\":4,\"Sequence\":7,\"New\":{}}";
+        assertThat(register(body)).isEqualTo(200);
+        assertThat(register(body.replace("\"Slots\"", "\"State\":\"draining\",\"Slots\"")))
+                .isEqualTo(200);
+        assertThat(call(HttpMethod.DELETE, "/poppynotch/instances/i-1", null, "")).isEqualTo(200);
+        assertThat(service.registered.get(0))
+                .isEqualTo(
+                        new ServerRecord("i-1", "s", "10.0.0.1:80", "", 4, ServerState.READY, 7));
+        assertThat(service.registered.get(1).state()).isEqualTo(ServerState.DRAINING);
+        assertThat(service.left).containsExactly("i-1");
+    }
+
+    @Test
+    void aRegistrationThatIsNotHeldIsTurnedAway() {
+        service.acknowledges = false;
+        assertThat(register("{\"Backend\":\"s\",\"Address\":\"10.0.0.1:80\"}")).isEqualTo(503);
+    }
+
+    @Test
+    void whatIsNoRegistrationIsRefused() {
+        assertThat(register("")).isEqualTo(400);
+        assertThat(register("[]")).isEqualTo(400);
+        assertThat(register("{\"Backend\":\"s\"}")).isEqualTo(400);
+        assertThat(register("{\"Backend\":7,\"Address\":\"10.0.0.1:80\"}")).isEqualTo(400);
+        assertThat(register("{\"Backend\":\"s\",\"Address\":\"nowhere\"}")).isEqualTo(400);
+        assertThat(register("{\"Backend\":\"s\",\"Address\":\"name.example:80\"}")).isEqualTo(400);
+        assertThat(register("{\"Backend\":\"s\",\"Address\":\"10.0.0.1:99999\"}")).isEqualTo(400);
+        assertThat(service.registered).isEmpty();
+    }
+
+    @Test
+    void ordersAreAnsweredByWhatBecameOfThem() {
+        assertThat(call(HttpMethod.PUT, "/poppynotch/config", "0", GOOD)).isEqualTo(200);
+        service.result = new OrderResult.Conflict(5);
+        assertThat(call(HttpMethod.PATCH, "/poppynotch/config", "4", GOOD)).isEqualTo(412);
+        service.result = new OrderResult.Invalid("why");
+        assertThat(call(HttpMethod.PATCH, "/poppynotch/config", "4", GOOD)).isEqualTo(400);
+        service.result = new OrderResult.Unclear();
+        assertThat(call(HttpMethod.PUT, "/poppynotch/config", "4", GOOD)).isEqualTo(503);
+        assertThat(service.changes).isEqualTo(4);
+    }
+
+    @Test
+    void whatIsNoOrderChangesNothing() {
+        assertThat(call(HttpMethod.PUT, "/poppynotch/config", "x", GOOD)).isEqualTo(400);
+        assertThat(call(HttpMethod.PUT, "/poppynotch/config", "0", GOOD.substring(0, 20)))
+                .isEqualTo(400);
+        assertThat(call(HttpMethod.PUT, "/poppynotch/config", "0", "{\"Routes\":[]}"))
+                .isEqualTo(400);
+        assertThat(call(HttpMethod.PATCH, "/poppynotch/config", "0", "{\"Generation\":1.5}"))
+                .isEqualTo(400);
+        assertThat(call(HttpMethod.POST, "/poppynotch/config", "0", GOOD)).isEqualTo(405);
+        assertThat(call(HttpMethod.GET, "/poppynotch/other", null, "")).isEqualTo(404);
+        assertThat(service.changes).isEqualTo(0);
+    }
+}
--- /dev/null
+++ b/system/src/test/java/poppynotch/router/ClientConnectionTest.java
@@ -0,0 +1,162 @@
+package poppynotch.router;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import poppynotch.config.ConfigReader;
+import poppynotch.config.ConfigResult;
+
+/** What this program answers by itself, and how it reads what clients send. */
+class ClientConnectionTest {
+
+    private static final String SETTINGS =
+            """
+            NodeName = "e"
+            Ip = "127.0.0.1"
+            EphemeralPorts = [1,2]
+            Seeds = []
+            """;
+    private static final String CONFIG =
+            """
+            {"Generation":1,"Routes":[
+            {"Name":"r","Authority":"h.example","PathPrefix":"/r/","RouteType":"unsafe","Backend":"s"},
+            {"Name":"open","Authority":"h.example","PathPrefix":"/open/","RouteType":"unsafe","Backend":"s",
+             "Anonymous":true}],
+            "Backends":[{"Name":"s"}],"Limits":{"MaxBodyBytes":100},
+            "Tenants":[{"Name":"t","ApiKeys":["good"],"Unit":"tokens","PlainTokens":10,
+             "RatePerS":1,"Burst":4}]}
+            """;
+
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private TestEdge edge;
+    private EmbeddedChannel channel;
+
+    @BeforeEach
+    void connect() {
+        edge = new TestEdge((EventLoop) group.next(), SETTINGS, new ArrayList<>());
+        ConfigResult config = ConfigReader.read(CONFIG.getBytes(StandardCharsets.UTF_8));
+        edge.state().configure(0, ((ConfigResult.Valid) config).config());
+        channel = new EmbeddedChannel(new HttpServerCodec(), new ClientConnection(edge));
+    }
+
+    @AfterEach
+    void stop() throws InterruptedException {
+        channel.finishAndReleaseAll();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    private String send(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        StringBuilder answer = new StringBuilder();
+        for (ByteBuf part = channel.readOutbound(); part != null; part = channel.readOutbound()) {
+            answer.append(part.toString(StandardCharsets.UTF_8));
+            part.release();
+        }
+        return answer.toString();
+    }
+
+    private static String post(String path, String headers, String body) {
+        return "POST "
+                + path
+                + " HTTP/1.1\r\nHost: H.example:80\r\n"
+                + headers
+                + "Content-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    @Test
+    void whatHasNoRouteIsNotFound() {
+        assertThat(send(post("/none/x", "", ""))).startsWith("HTTP/1.1 404");
+        assertThat(channel.isOpen()).isTrue();
+        assertThat(send(post("/none/x", "", ""))).startsWith("HTTP/1.1 404");
+    }
+
+    @Test
+    void anUnknownKeyIsRefused() {
+        assertThat(send(post("/r/x", "", ""))).startsWith("HTTP/1.1 401");
+        assertThat(send(post("/r/x", "Authorization: Bearer bad\r\n", "")))
+                .startsWith("HTTP/1.1 401");
+    }
+
+    @Test
+    void withoutAServerItIsRefusedWithATimeToComeBack() {
+        String answer = send(post("/r/x", "Authorization: Bearer good\r\n", "b"));
+        assertThat(answer).startsWith("HTTP/1.1 503");
+        assertThat(answer).contains("retry-after: 0.0");
+        assertThat(send(post("/open/x", "", "b"))).startsWith("HTTP/1.1 503");
+    }
+
+    /** What was refused for want of a server has not run, and is not counted. */
+    @Test
+    void onlyWhatRunsCountsForAQuota() {
+        for (int i = 0; i < 5; i++) {
+            assertThat(send(post("/r/x", "Authorization: Bearer good\r\n", "")))
+                    .startsWith("HTTP/1.1 503");
+        }
+        edge.state().quotas().take(edge.now(), edge.state().config().tenants().get("t"), 1000);
+        String answer = send(post("/r/x", "Authorization: Bearer good\r\n", ""));
+        assertThat(answer).startsWith("HTTP/1.1 429");
+        assertThat(answer).contains("retry-after: ");
+    }
+
+    @Test
+    void aBodyInPiecesAndChunksIsReadWhole() {
+        assertThat(send("POST /none/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\nab"))
+                .isEmpty();
+        assertThat(send("cd")).startsWith("HTTP/1.1 404");
+        assertThat(
+                        send(
+                                "POST /none/x HTTP/1.1\r\nHost: h.example\r\n"
+                                        + "Transfer-Encoding: chunked\r\n\r\n2\r\nab"))
+                .isEmpty();
+        assertThat(send("\r\n0\r\n\r\n")).startsWith("HTTP/1.1 404");
+    }
+
+    @Test
+    void aBodyThatIsTooLargeIsRefusedAndTheConnectionEnds() {
+        assertThat(send(post("/open/x", "", "x".repeat(101)))).startsWith("HTTP/1.1 413");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    @Test
+    void whatIsNoRequestIsRefusedAndTheConnectionEnds() {
+        assertThat(send("nonsense\r\n\r\n")).startsWith("HTTP/1.1 400");
+        assertThat(channel.isOpen()).isFalse();
+    }
+
+    @Test
+    void aRequestSentAheadIsAnsweredInItsTurn() {
+        String answers =
+                send(post("/none/1", "", "") + post("/open/2", "", "") + post("/none/3", "", ""));
+        List<String> statuses =
+                answers.lines()
+                        .filter(line -> line.startsWith("HTTP/1.1"))
+                        .map(line -> line.substring(9, 12))
+                        .toList();
+        assertThat(statuses).containsExactly("404", "503", "404").inOrder();
+    }
+
+    @Test
+    void aProcessThatEndsSendsClientsElsewhere() {
+        edge.draining = true;
+        assertThat(send(post("/none/x", "", ""))).contains("connection: close");
+        assertThat(channel.isOpen()).isFalse();
+    }
+}
--- a/system/src/test/java/poppynotch/router/ExchangeTest.java
+++ b/system/src/test/java/poppynotch/router/ExchangeTest.java
@@ -16,9 +16,7 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -28,9 +26,6 @@
 import poppynotch.config.ConfigReader;
 import poppynotch.config.ConfigResult;
 import poppynotch.config.Route;
-import poppynotch.pool.Slot;
-import poppynotch.settings.NodeSettings;
-import poppynotch.settings.SettingsResult;
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.ServerState;
 
@@ -71,66 +66,7 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final List<ScriptedServer> servers = new ArrayList<>();
     private final List<String> misdirected = new CopyOnWriteArrayList<>();
-    private Context edge;
-
-    /** An edge without a control plane. */
-    private final class Context implements EdgeContext {
-        private final FleetState state =
-                new FleetState(((SettingsResult.Good) NodeSettings.parse(SETTINGS)).settings());
-        private final EventLoop loop = (EventLoop) group.next();
-        private final UpstreamConnections connections = new UpstreamConnections(loop, this::now);
-        private final Set<Exchange> active = new LinkedHashSet<>();
-
-        @Override
-        public EventLoop loop() {
-            return loop;
-        }
-
-        @Override
-        public long now() {
-            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
-        }
-
-        @Override
-        public FleetState state() {
-            return state;
-        }
-
-        @Override
-        public UpstreamConnections connections() {
-            return connections;
-        }
-
-        @Override
-        public Set<Exchange> active() {
-            return active;
-        }
-
-        @Override
-        public void announce(String backend, Slot slot) {
-            // There is no other edge.
-        }
-
-        @Override
-        public boolean hasEngine(String backend) {
-            return false;
-        }
-
-        @Override
-        public void misdirected(String serverId) {
-            misdirected.add(serverId);
-        }
-
-        @Override
-        public boolean isDraining() {
-            return false;
-        }
-
-        @Override
-        public Set<ClientConnection> clients() {
-            return Set.of();
-        }
-    }
+    private TestEdge edge;
 
     /** What a client got. */
     private static final class Recorded implements ClientAnswer {
@@ -180,7 +116,7 @@
 
     @BeforeEach
     void start() {
-        edge = new Context();
+        edge = new TestEdge((EventLoop) group.next(), SETTINGS, misdirected);
     }
 
     @AfterEach
