--- a/system/src/test/java/poppynotch/control/RegisterTimelineTest.java
+++ b/system/src/test/java/poppynotch/control/RegisterTimelineTest.java
@@ -62,7 +62,13 @@
                 case "wipe" -> machine.wipe();
                 case "start" -> machine.start();
                 case "cut" -> machine.cut = true;
-                case "heal" -> machine.cut = false;
+                case "mutes" -> machine.mute = true;
+                case "deafens" -> machine.deaf = true;
+                case "heal" -> {
+                    machine.cut = false;
+                    machine.mute = false;
+                    machine.deaf = false;
+                }
                 case "hang" -> machine.diskHangs = true;
                 case "unhang" -> machine.diskGoesOn();
                 case "slow" -> machine.diskMs = Long.parseLong(words[1]);
@@ -199,6 +205,55 @@
         assertThat(play.result("x")).isInstanceOf(OrderResult.Taken.class);
     }
 
+    @Test
+    void aMachineThatHearsButIsNotHeardHoldsUpNobody() {
+        Play play =
+                play(
+                        """
+                        ms   | a               | b               | c
+                        400  | mutes           |                 |
+                        500  | put 1 on 0 as x | put 2 on 0 as y |
+                        1500 |                 | knows 2         | knows 2
+                        4000 | heal            |                 |
+                        6000 | knows 2         |                 | reads 2
+                        """);
+        assertThat(play.result("x")).isInstanceOf(OrderResult.Unclear.class);
+        assertThat(play.result("y")).isInstanceOf(OrderResult.Taken.class);
+    }
+
+    @Test
+    void aMachineThatIsHeardButDoesNotHearPromisesNothing() {
+        Play play =
+                play(
+                        """
+                        ms   | a               | b               | c
+                        400  | deafens         |                 |
+                        500  | put 1 on 0 as x |                 |
+                        1200 |                 | put 2 on 0 as y |
+                        4000 | heal            |                 |
+                        7000 | knows 2         |                 | reads 2
+                        """);
+        assertThat(play.result("x")).isInstanceOf(OrderResult.Unclear.class);
+        assertThat(play.result("y")).isInstanceOf(OrderResult.Taken.class);
+    }
+
+    @Test
+    void inACoreCutInTwoTheLargerPartGoesOn() {
+        Play play =
+                play(
+                        """
+                        ms   | a               | b               | c       | d
+                        400  |                 |                 | cut     |
+                        500  | put 1 on 0 as x |                 |         |
+                        900  |                 | put 2 on 1 as y |         |
+                        3000 |                 |                 | heal    |
+                        4000 | cut             |                 | knows 2 |
+                        4100 |                 |                 |         | reads 2
+                        """);
+        assertThat(play.result("x")).isInstanceOf(OrderResult.Taken.class);
+        assertThat(play.result("y")).isInstanceOf(OrderResult.Taken.class);
+    }
+
     @Test
     void aProposerThatDiesBetweenItsRoundsHoldsUpNobody() {
         Play play =
--- a/system/src/test/java/poppynotch/control/RegisterWorld.java
+++ b/system/src/test/java/poppynotch/control/RegisterWorld.java
@@ -45,6 +45,12 @@
         long diskMs = 1;
         boolean diskHangs;
         boolean cut;
+
+        /** What it sends does not arrive, though it hears the others. */
+        boolean mute;
+
+        /** What others send does not arrive here, though they hear it. */
+        boolean deaf;
         RegisterReplica replica;
         private final List<Runnable> hanging = new ArrayList<>();
 
@@ -224,7 +230,7 @@
      */
     private void deliver(Machine from, Machine to, Runnable action) {
         int fromLife = from.life;
-        if (from.cut || to.cut || random.nextDouble() < lossShare) {
+        if (from.cut || to.cut || from.mute || to.deaf || random.nextDouble() < lossShare) {
             return;
         }
         after(
--- a/system/src/test/java/poppynotch/pool/QuotaLedgerTest.java
+++ b/system/src/test/java/poppynotch/pool/QuotaLedgerTest.java
@@ -61,6 +61,19 @@
         assertThat(ledger.take(0, TENANT, 100)).isEqualTo(0);
     }
 
+    /** One of six is cut off for a whole window: it gives out its share, the others what is left to them. */
+    @Test
+    void aSidecarOutOfContactGivesOutAnEvenShare() {
+        QuotaLedger alone = ledger(0);
+        alone.place(6, true);
+        long granted = 0;
+        for (long now = 0; now < 12_000; now += 20) {
+            granted += alone.take(now, TENANT, 500) == 0 ? 500 : 0;
+        }
+        assertThat((double) granted).isAtMost(TENANT.burst() + 10_000.0 / 6 * 12 + 500);
+        assertThat((double) granted).isAtLeast(10_000.0 / 6 * 11);
+    }
+
     /** Six sidecars and a sum that comes 400 ms late: each window holds the rule's bound. */
     @Test
     void sidecarsTogetherKeepTheBound() {
--- a/system/src/test/java/poppynotch/pool/RetryBudgetTest.java
+++ b/system/src/test/java/poppynotch/pool/RetryBudgetTest.java
@@ -45,4 +45,28 @@
         assertThat(budget.trySpend(0)).isFalse();
         assertThat(budget.trySpend(10_000)).isTrue();
     }
+
+    /** A sidecar that is killed again and again gets little anew each time. */
+    @Test
+    void aStartGivesNoMoreThanOneRepeat() {
+        int repeats = 0;
+        for (int start = 0; start < 5; start++) {
+            RetryBudget budget = new RetryBudget(0.2, 52, 10_000);
+            budget.place(6, true);
+            while (budget.trySpend(start * 2000L)) {
+                repeats++;
+            }
+        }
+        assertThat(repeats).isEqualTo(5);
+    }
+
+    @Test
+    void whenOthersLeaveTheShareGrowsButNotAtOnce() {
+        RetryBudget budget = new RetryBudget(0.2, 60, 10_000);
+        budget.place(6, true);
+        assertThat(budget.trySpend(0)).isTrue();
+        budget.place(1, false);
+        assertThat(budget.trySpend(0)).isFalse();
+        assertThat(budget.trySpend(1000)).isTrue();
+    }
 }
--- a/system/src/test/java/poppynotch/router/ExchangeTest.java
+++ b/system/src/test/java/poppynotch/router/ExchangeTest.java
@@ -376,6 +376,34 @@
         assertThat(client.end.isDone()).isFalse();
     }
 
+    /** What is being sent when a drain becomes known ends there; nothing new goes there. */
+    @Test
+    void aServerThatDrainsEndsWhatItHasAndGetsNothingNew() throws Exception {
+        CompletableFuture<Void> arrived = new CompletableFuture<>();
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        serve(
+                (head, out, socket) -> {
+                    arrived.complete(null);
+                    drained.join();
+                    return ScriptedServer.ok("ended here").serve(head, out, socket);
+                },
+                ScriptedServer.ok("new"));
+        Recorded first = send("/once/");
+        arrived.get(20, TimeUnit.SECONDS);
+        ServerRecord other =
+                new ServerRecord("i1", "s", servers.get(1).address(), "far", 4, ServerState.READY, 1);
+        ServerRecord draining =
+                new ServerRecord("i0", "s", servers.get(0).address(), "z", 4, ServerState.DRAINING, 2);
+        edge.loop().submit(() -> edge.state().servers(List.of(draining, other))).sync();
+        Recorded second = send("/once/");
+        assertThat(second.ended()).isEqualTo("whole 200");
+        assertThat(second.body.toString()).isEqualTo("new");
+        drained.complete(null);
+        assertThat(first.ended()).isEqualTo("whole 200");
+        assertThat(first.body.toString()).isEqualTo("ended here");
+        assertThat(servers.get(0).heads).hasSize(1);
+    }
+
     @Test
     void aConnectionThatTheServerHasClosedIsNotUsedForTheNextRequest() throws Exception {
         serve(
