--- a/sidecar/src/main/java/mapleroute/sidecar/DiscoveryClient.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/DiscoveryClient.java
@@ -27,7 +27,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import poppynotch.transport.StrictResponseDecoder;
 
 /**
  * Watches the list of endpoints, call after call, from its first call to the end of the process. It is in one
@@ -107,7 +106,7 @@
             .handler(new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel fresh) {
-                    fresh.pipeline().addLast(new HttpRequestEncoder(), new StrictResponseDecoder(),
+                    fresh.pipeline().addLast(new HttpRequestEncoder(), new EndpointPool.StrictDecoder(),
                         new HttpObjectAggregator(MOST_BODY), new Calls());
                 }
             });
--- a/sidecar/src/main/java/mapleroute/sidecar/EndpointPool.java
+++ b/sidecar/src/main/java/mapleroute/sidecar/EndpointPool.java
@@ -16,11 +16,14 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -33,9 +36,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
 import mapleroute.Contract.Outcome;
 import mapleroute.Contract.State;
-import poppynotch.transport.StrictResponseDecoder;
 
 /** The connections to each endpoint: one request at a time on each, kept alive, bounded in all. */
 final class EndpointPool {
@@ -293,10 +296,38 @@
         endpoints.values().forEach(EndpointPool::closeAll);
     }
 
+    /** Takes for an answer only what is one: the library's own decoder is lenient with answers. */
+    static final class StrictDecoder extends HttpResponseDecoder {
+        private static final Pattern STATUS = Pattern.compile("[1-9][0-9]{2}");
+
+        /** Whether more has come than belongs to the messages read so far. */
+        boolean holdsMore() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        protected HttpMessage createMessage(String[] statusLine) {
+            HttpMessage made = super.createMessage(statusLine);
+            if (made.protocolVersion().majorVersion() != 1 || !STATUS.matcher(statusLine[1]).matches()) {
+                throw new IllegalArgumentException("no HTTP/1 status line: " + String.join(" ", statusLine));
+            }
+            return made;
+        }
+
+        /** The library ends a name at a blank too, and so finds a header in a line that has no colon. */
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            if (line[start + length] != ':') {
+                throw new IllegalArgumentException("a header line without a colon after its name");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+    }
+
     private final class Connection extends ChannelInboundHandlerAdapter implements Body.Sink {
         private final Endpoint endpoint;
         private final int generation;
-        private final StrictResponseDecoder decoder = new StrictResponseDecoder();
+        private final StrictDecoder decoder = new StrictDecoder();
         private Channel channel;
         private Attempt attempt;
         /** What has come is being read just now, in the caller's own call. */
--- a/system/src/test/java/poppynotch/control/RegisterWorld.java
+++ b/system/src/test/java/poppynotch/control/RegisterWorld.java
@@ -51,6 +51,7 @@
 
         /** What others send does not arrive here, though they hear it. */
         boolean deaf;
+
         RegisterReplica replica;
         private final List<Runnable> hanging = new ArrayList<>();
 
--- a/system/src/test/java/poppynotch/pool/QuotaLedgerTest.java
+++ b/system/src/test/java/poppynotch/pool/QuotaLedgerTest.java
@@ -61,7 +61,10 @@
         assertThat(ledger.take(0, TENANT, 100)).isEqualTo(0);
     }
 
-    /** One of six is cut off for a whole window: it gives out its share, the others what is left to them. */
+    /**
+     * One of six is cut off for a whole window: it gives out its share, the others what is left to
+     * them.
+     */
     @Test
     void aSidecarOutOfContactGivesOutAnEvenShare() {
         QuotaLedger alone = ledger(0);
--- a/system/src/test/java/poppynotch/router/ExchangeTest.java
+++ b/system/src/test/java/poppynotch/router/ExchangeTest.java
@@ -391,9 +391,11 @@
         Recorded first = send("/once/");
         arrived.get(20, TimeUnit.SECONDS);
         ServerRecord other =
-                new ServerRecord("i1", "s", servers.get(1).address(), "far", 4, ServerState.READY, 1);
+                new ServerRecord(
+                        "i1", "s", servers.get(1).address(), "far", 4, ServerState.READY, 1);
         ServerRecord draining =
-                new ServerRecord("i0", "s", servers.get(0).address(), "z", 4, ServerState.DRAINING, 2);
+                new ServerRecord(
+                        "i0", "s", servers.get(0).address(), "z", 4, ServerState.DRAINING, 2);
         edge.loop().submit(() -> edge.state().servers(List.of(draining, other))).sync();
         Recorded second = send("/once/");
         assertThat(second.ended()).isEqualTo("whole 200");
