--- a/lab/src/test/java/mapleroute/lab/capacity/CapacityPageTest.java
+++ b/lab/src/test/java/mapleroute/lab/capacity/CapacityPageTest.java
@@ -17,11 +17,13 @@
     private static final String FLEET = "CAPACITY.md";
     private static final String SIDECAR = "CAPACITY-sidecar.md";
     private static final List<String> FLEET_ROLES = List.of("edge, all control", "edge: configuration",
-        "edge: pool", "edge: prompt memory", "edge: retry budget", "edge: quotas", "edge: lease and long polls",
+        "edge: pool", "edge: prompt memory", "edge: retry budget", "edge: quotas",
+        "edge: lease and long polls",
         "core process, all", "core: register", "core: registry of servers", "core: leases of edges",
         "core: delivery", "core: quota sums", "operators' commands", "a change of configuration",
         "the end of a server");
-    private static final List<String> FLEET_FAILURES = List.of("a machine", "a core machine", "a rack", "a zone",
+    private static final List<String> FLEET_FAILURES = List.of("a machine", "a core machine", "a rack",
+        "a zone",
         "regions apart for minutes", "all core machines at once", "210 restarts");
     private static final List<String> ROLES = List.of("sidecar, all control", "sidecar: membership",
         "sidecar: sharing", "sidecar: duties' client", "sidecar: releases' stager",
