--- a/register/src/main/java/poppynotch/register/Acceptor.java
+++ b/register/src/main/java/poppynotch/register/Acceptor.java
@@ -41,6 +41,20 @@
         state = recovered;
     }
 
+    /**
+     * Takes in a value that is known to be chosen, as if its acceptance had come late: a replica
+     * that missed the vote, or has none, so holds the value too. What was promised stays promised.
+     *
+     * @return the state to be kept; empty if it held the value already or must not vote
+     */
+    public Optional<AcceptorState> adopt(Ballot ballot, RegisterValue value) {
+        if (state == null || ballot.compareTo(state.accepted()) <= 0) {
+            return Optional.empty();
+        }
+        state = new AcceptorState(Ballot.max(state.promised(), ballot), ballot, value);
+        return Optional.of(state);
+    }
+
     /** The answer to a proposer; empty while it must not vote or for what is no question. */
     public Optional<Answer> on(Vote vote) {
         if (state == null) {
--- a/register/src/main/java/poppynotch/register/RegisterValue.java
+++ b/register/src/main/java/poppynotch/register/RegisterValue.java
@@ -21,8 +21,8 @@
         List<AppliedChange> history) {
 
     /**
-     * Changes that are remembered: more than operators have under way while one of them is sent
-     * again.
+     * Changes that are remembered. A change sent again later than that can be told neither as taken
+     * nor as refused (see {@link #mayHaveForgotten}); the number bounds only the size of a vote.
      */
     public static final int HISTORY = 400;
 
@@ -40,6 +40,14 @@
         return history.stream().anyMatch(change -> change.digest() == digest);
     }
 
+    /**
+     * Whether a change that was made for a version may have been part of the value so long ago that
+     * it is no longer remembered. The change that followed a remembered version is remembered too.
+     */
+    public boolean mayHaveForgotten(long buildsOn) {
+        return history.size() >= HISTORY && buildsOn < history.get(0).generation();
+    }
+
     /** The value after a change of the configuration. */
     public RegisterValue withDocument(long newGeneration, byte[] newDocument, long digest) {
         List<AppliedChange> changes = new ArrayList<>(history);
--- a/system/src/main/java/poppynotch/app/ControlPlaneCommand.java
+++ b/system/src/main/java/poppynotch/app/ControlPlaneCommand.java
@@ -22,8 +22,8 @@
             }
 
             @Override
-            public void shutDown() {
-                // What was acknowledged is on disk and at others: there is nothing to wait for.
+            public void shutDown() throws InterruptedException {
+                core.shutDown();
             }
         };
     }
--- a/system/src/main/java/poppynotch/app/Main.java
+++ b/system/src/main/java/poppynotch/app/Main.java
@@ -36,6 +36,7 @@
         commands.put("status", new StatusCommand());
         commands.put("demo", new DemoCommand());
         commands.put("scale", new ScaleCommand());
+        commands.put("explore", new ExploreCommand());
         JCommander parser = JCommander.newBuilder().programName("poppynotch").build();
         commands.forEach(parser::addCommand);
         try {
--- a/system/src/main/java/poppynotch/control/ConfigOrder.java
+++ b/system/src/main/java/poppynotch/control/ConfigOrder.java
@@ -8,7 +8,6 @@
 import poppynotch.config.ConfigReader;
 import poppynotch.config.ConfigResult;
 import poppynotch.config.DocumentCodec;
-import poppynotch.register.Change;
 import poppynotch.register.Outcome;
 import poppynotch.register.RegisterValue;
 
@@ -16,7 +15,7 @@
  * An operator's change of the configuration, as a change of the register. It is known by its
  * content when it is sent again, to whichever core process.
  */
-public final class ConfigOrder implements Change {
+public final class ConfigOrder implements Order {
 
     /** How the change is given. */
     public enum Kind {
@@ -87,6 +86,10 @@
             result = new OrderResult.Taken(current.generation());
             return new Decision.Keep();
         }
+        if (current.mayHaveForgotten(buildsOn)) {
+            result = new OrderResult.Unclear();
+            return new Decision.Keep();
+        }
         if (buildsOn != current.generation()) {
             result = new OrderResult.Conflict(current.generation());
             return new Decision.Keep();
@@ -120,7 +123,12 @@
         return ConfigReader.parse(json);
     }
 
-    /** What the operator is told, once the proposal of this change has ended. */
+    /** By which the change is known wherever it comes from. */
+    public long digest() {
+        return digest;
+    }
+
+    @Override
     public OrderResult resultOf(Outcome outcome) {
         return outcome instanceof Outcome.Chosen ? result : new OrderResult.Unclear();
     }
--- a/system/src/main/java/poppynotch/control/ControlApi.java
+++ b/system/src/main/java/poppynotch/control/ControlApi.java
@@ -17,6 +17,8 @@
 import jakarta.json.JsonException;
 import jakarta.json.JsonObject;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -34,6 +36,9 @@
     private static final String STATUS = "/poppynotch/status";
     private static final String EMPTY = "{}";
 
+    /** Requests that may wait on one connection for the answers of those before them. */
+    private static final int MOST_WAITING = 64;
+
     /** An answer to one call. */
     record Answer(HttpResponseStatus status, byte[] json) {
         static Answer of(HttpResponseStatus status, String json) {
@@ -56,14 +61,51 @@
 
     private final Service service;
 
+    /** Requests behind the one that is being answered: answers go out in the order of requests. */
+    private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+
+    private boolean busy;
+
     ControlApi(Service service) {
         this.service = service;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+        if (!busy) {
+            serve(ctx, request);
+        } else if (waiting.size() < MOST_WAITING) {
+            waiting.add(request.retain());
+        } else {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        waiting.forEach(FullHttpRequest::release);
+        waiting.clear();
+    }
+
+    private void serve(ChannelHandlerContext ctx, FullHttpRequest request) {
+        busy = true;
         boolean keepAlive = HttpUtil.isKeepAlive(request);
-        Consumer<Answer> end = answer -> send(ctx, answer, keepAlive);
+        dispatch(request, answer -> send(ctx, answer, keepAlive));
+    }
+
+    private void goOn(ChannelHandlerContext ctx) {
+        busy = false;
+        FullHttpRequest next = waiting.poll();
+        if (next != null) {
+            try {
+                serve(ctx, next);
+            } finally {
+                next.release();
+            }
+        }
+    }
+
+    private void dispatch(FullHttpRequest request, Consumer<Answer> end) {
         if (request.decoderResult().isFailure()) {
             end.accept(problem(HttpResponseStatus.BAD_REQUEST, "not HTTP"));
             return;
@@ -181,7 +223,7 @@
         return new Answer(status, ConfigReader.problem(reason).getBytes(StandardCharsets.UTF_8));
     }
 
-    private static void send(ChannelHandlerContext ctx, Answer answer, boolean keepAlive) {
+    private void send(ChannelHandlerContext ctx, Answer answer, boolean keepAlive) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -191,7 +233,9 @@
         HttpUtil.setContentLength(response, answer.json().length);
         HttpUtil.setKeepAlive(response, keepAlive);
         ChannelFuture written = ctx.writeAndFlush(response);
-        if (!keepAlive) {
+        if (keepAlive) {
+            goOn(ctx);
+        } else {
             written.addListener(ChannelFutureListener.CLOSE);
         }
     }
--- a/system/src/main/java/poppynotch/control/CoreNode.java
+++ b/system/src/main/java/poppynotch/control/CoreNode.java
@@ -12,108 +12,52 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import poppynotch.config.DocumentCodec;
 import poppynotch.register.AcceptorSet;
 import poppynotch.register.AcceptorState;
-import poppynotch.register.Ballot;
-import poppynotch.register.Change;
-import poppynotch.register.Outcome;
-import poppynotch.register.RegisterValue;
 import poppynotch.register.StateFiles;
-import poppynotch.register.Vote;
 import poppynotch.settings.HostPort;
 import poppynotch.settings.NodeSettings;
 import poppynotch.transport.Listeners;
-import poppynotch.wire.EdgeLease;
 import poppynotch.wire.Message;
 import poppynotch.wire.RecordChannel;
 import poppynotch.wire.ServerRecord;
 
-/**
- * A core process: it holds a replica of the register, the registry of servers and the edges'
- * leases, and serves operators, servers and edges. All of its tables belong to one event loop.
- */
-public final class CoreNode implements ControlApi.Service, RegisterReplica.Host, PollHub.Source {
+/** A core process on real sockets, disk and clock: what it does is {@link ControlCore}'s. */
+public final class CoreNode implements ControlApi.Service {
 
     private static final Logger LOG = LoggerFactory.getLogger(CoreNode.class);
     private static final AttributeKey<String> SENDER = AttributeKey.valueOf("sender");
     private static final int MOST_BODY = 8 * 1024 * 1024;
     private static final int TICK_MS = 50;
-    private static final long BEAT_MS = 200;
-
-    /** Without a quorum for so long, this process vouches for nothing. */
-    private static final long FENCED_MS = 1000;
+    private static final long DISK_RETRY_MS = 200;
 
-    /** What this process says of the registry counts as stale after a time without a quorum. */
-    private static final long REGISTRY_STALE_MS = 2000;
+    /** How long a process that is told to end tries to hand its place among the acceptors on. */
+    private static final long LEAVE_LIMIT_MS = 2500;
 
-    private static final long ORDER_LIMIT_MS = 2500;
-    private static final long CONTACT_MS = 2000;
-    private static final long MAINTENANCE_MS = 500;
-
-    private static final long DISK_RETRY_MS = 200;
+    /** Heartbeats that go out before the end tell others what only this process has heard. */
+    private static final long LAST_BEATS_MS = ControlCore.BEAT_MS + TICK_MS;
 
     private final NodeSettings settings;
     private final EventLoop loop;
-
-    /**
-     * Control addresses of core processes by the settings; those of the acceptors are known
-     * besides.
-     */
-    private List<String> seeds;
-
     private final String self;
     private final long incarnation = ThreadLocalRandom.current().nextLong() | 1;
-    private final QuorumContact contact;
-    private final CorePeers peers;
-    private final ServerRegistry registry;
-    private final EdgeDirectory edges = new EdgeDirectory();
-    private final PollHub polls;
-    private final RegistryService servers;
-    private final AcceptorMaintenance maintenance;
-    private final RoleElection election;
-
-    private RegisterReplica register;
-    private long nextBeatMs;
-    private long lastBeatMs;
-    private long nextMaintenanceMs;
-    private boolean newsPending;
-    private boolean fenced = true;
-    private long fencedSinceMs;
-    private boolean maintaining;
+    private final CountDownLatch ended = new CountDownLatch(1);
+    private ControlCore<Channel> core;
+    private long leavingSinceMs = Long.MAX_VALUE;
 
     private CoreNode(NodeSettings settings, EventLoop loop) {
         this.settings = settings;
         this.loop = loop;
-        seeds = addresses(settings);
         self =
                 settings.control()
                         .orElseThrow(() -> new IllegalArgumentException("Bind.Control is missing"))
                         .toString();
-        contact = new QuorumContact(self);
-        peers = new CorePeers(loop, self, incarnation, settings.peerPort(), CoreNode::now, contact);
-        registry = new ServerRegistry(now(), settings.heartbeatMs());
-        polls = new PollHub(incarnation, registry, edges, this, CoreNode::now);
-        servers =
-                new RegistryService(
-                        self,
-                        registry,
-                        peers,
-                        () -> register.acceptors(),
-                        this::isFenced,
-                        this::news);
-        maintenance = new AcceptorMaintenance(settings.toleratedMachines());
-        election =
-                new RoleElection(
-                        self,
-                        now(),
-                        incarnation,
-                        term -> peers.sendToAll(new Message.RoleClaim(term)));
     }
 
     private static List<String> addresses(NodeSettings settings) {
@@ -122,11 +66,7 @@
 
     /** The settings file has changed: the seeds may be others. */
     public void reload(NodeSettings changed) {
-        loop.execute(
-                () -> {
-                    seeds = addresses(changed);
-                    seeds.forEach(seed -> peers.know(seed, now()));
-                });
+        loop.execute(() -> core.seeds(addresses(changed)));
     }
 
     private static long now() {
@@ -137,7 +77,7 @@
     public static CoreNode start(NodeSettings settings, EventLoopGroup group) throws IOException {
         EventLoop loop = (EventLoop) group.next();
         CoreNode node = new CoreNode(settings, loop);
-        node.openRegister();
+        node.openCore();
         try {
             loop.submit(node::begin).sync();
             Listeners.listen(
@@ -157,7 +97,7 @@
         return node;
     }
 
-    private void openRegister() throws IOException {
+    private void openCore() throws IOException {
         Path folder =
                 settings.dataDir()
                         .orElseThrow(
@@ -168,21 +108,35 @@
         StateFiles files = new StateFiles(folder);
         Optional<AcceptorState> kept = files.read();
         if (kept.isEmpty() && settings.bootstrap()) {
-            AcceptorState initial = AcceptorState.initial(AcceptorSet.of(seeds));
+            AcceptorState initial = AcceptorState.initial(AcceptorSet.of(addresses(settings)));
             keepFirst(files, initial);
             kept = Optional.of(initial);
         }
         LOG.info(
                 "the register goes on from {}",
                 kept.map(AcceptorState::toString).orElse("nothing"));
-        register =
-                new RegisterReplica(
-                        self,
-                        incarnation,
-                        kept,
-                        AcceptorSet.of(List.of()),
+        QuorumContact contact = new QuorumContact(self);
+        core =
+                new ControlCore<>(
+                        new ControlCore.Start(
+                                self,
+                                incarnation,
+                                addresses(settings),
+                                new AcceptorMaintenance(settings.toleratedMachines()),
+                                settings.heartbeatMs(),
+                                kept),
+                        CoreNode::now,
+                        loop,
+                        new CorePeers(
+                                loop,
+                                self,
+                                incarnation,
+                                settings.peerPort(),
+                                CoreNode::now,
+                                contact),
+                        contact,
                         new DiskStorage(files, loop),
-                        this);
+                        RecordChannel::send);
     }
 
     /**
@@ -206,7 +160,7 @@
     }
 
     private void begin() {
-        seeds.forEach(seed -> peers.know(seed, now()));
+        core.seeds(addresses(settings));
         loop.scheduleWithFixedDelay(this::tick, 0, TICK_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -218,91 +172,41 @@
                         new ControlApi(this));
     }
 
-    // ---- time ----
-
     private void tick() {
         try {
-            long now = now();
-            peers.tick(now);
-            register.tick(now);
-            watchQuorum(now);
-            servers.tick(now);
-            edges.tick(now);
-            polls.tick(now);
-            if (now >= nextBeatMs) {
-                beat(now);
-            }
-            if (now >= nextMaintenanceMs) {
-                nextMaintenanceMs = now + MAINTENANCE_MS;
-                seeds.forEach(seed -> peers.know(seed, now));
-                register.acceptors().everyone().forEach(acceptor -> peers.know(acceptor, now));
-                maintainAcceptors(now);
-            }
+            core.tick();
+            watchEnd(now());
         } catch (RuntimeException e) {
             LOG.error("a tick failed", e);
         }
     }
 
-    /** Out of contact with a quorum: this process vouches for nothing. */
-    private boolean isFenced() {
-        return quorumAgeMs() > FENCED_MS;
-    }
+    // ---- the end ----
 
-    private void watchQuorum(long now) {
-        boolean before = fenced;
-        fenced = isFenced();
-        if (fenced && !before) {
-            fencedSinceMs = now;
-            LOG.info("out of contact with a quorum");
-        } else if (!fenced && before) {
-            LOG.info("in contact with a quorum");
-            if (now - fencedSinceMs > REGISTRY_STALE_MS) {
-                servers.catchUp(now);
-            }
-        }
-    }
-
-    private void beat(long now) {
-        List<EdgeLease> leases = edges.drainDirect(now, lastBeatMs);
-        lastBeatMs = now;
-        nextBeatMs = now + BEAT_MS;
-        Optional<RegisterReplica.Chosen> chosen = register.chosen();
-        peers.sendToAll(
-                new Message.CoreBeat(
-                        peers.nextBeat(now),
-                        chosen.map(known -> known.value().revision()).orElse(-1L),
-                        chosen.map(RegisterReplica.Chosen::ballot).orElse(Ballot.ZERO),
-                        register.accepted(),
-                        register.highest(),
-                        register.acceptors(),
-                        registry.isComplete(now),
-                        registry.digest(),
-                        peers.inContact(now, CONTACT_MS),
-                        registry.drainHeard(),
-                        leases));
+    /**
+     * Hands this process's place among the acceptors on where there is a successor, and returns
+     * when that is done or its time is up.
+     */
+    public void shutDown() throws InterruptedException {
+        loop.execute(
+                () -> {
+                    LOG.info("leaving");
+                    leavingSinceMs = now();
+                    core.leave();
+                });
+        ended.await();
     }
 
-    /** Whoever holds that role looks after the set of acceptors. */
-    private void maintainAcceptors(long now) {
-        election.tick(now);
-        if (!election.isHolder(now) || isFenced() || maintaining || register.chosen().isEmpty()) {
+    private void watchEnd(long now) {
+        if (leavingSinceMs == Long.MAX_VALUE) {
             return;
         }
-        Optional<Change> due =
-                maintenance.due(
-                        register.acceptors(), peers.known(), core -> contact.ageMs(now, core));
-        due.ifPresent(
-                change -> {
-                    maintaining = true;
-                    register.submit(
-                            now,
-                            change,
-                            now + ORDER_LIMIT_MS,
-                            outcome -> {
-                                maintaining = false;
-                                LOG.info("the set of acceptors: {}", register.acceptors());
-                            });
-                });
+        long since = now - leavingSinceMs;
+        if (since >= LAST_BEATS_MS && core.mayEnd() || since >= LEAVE_LIMIT_MS) {
+            LOG.info("ends {} ms after it was told to", since);
+            leavingSinceMs = Long.MAX_VALUE;
+            ended.countDown();
+        }
     }
 
     // ---- messages ----
@@ -316,182 +220,55 @@
 
             @Override
             public void closed(Channel channel) {
-                polls.closed(channel);
+                core.closed(channel);
             }
         };
     }
 
     private void received(Channel from, Message message) {
         if (message instanceof Message.Poll poll) {
-            polls.poll(from, poll);
-            return;
-        }
-        if (message instanceof Message.Hello hello) {
+            core.poll(from, poll);
+        } else if (message instanceof Message.Hello hello) {
             from.attr(SENDER).set(hello.sender());
-            peers.know(hello.sender(), now());
-            return;
-        }
-        String sender = from.attr(SENDER).get();
-        if (sender != null) {
-            fromPeer(sender, message);
-        }
-    }
-
-    private void fromPeer(String sender, Message message) {
-        long now = now();
-        if (message instanceof Message.CoreBeat beat) {
-            onBeat(now, sender, beat);
-        } else if (message instanceof Message.BeatEcho echo) {
-            peers.echoed(sender, echo.sequence());
-        } else if (message instanceof Message.RegisterVote vote) {
-            register.on(now, sender, vote.vote());
-        } else if (message instanceof Message.Learn learn) {
-            register.learn(new RegisterReplica.Chosen(learn.ballot(), learn.value()), false);
-        } else if (message instanceof Message.RoleClaim claim) {
-            if (election.claimed(now, sender, claim.term())) {
-                peers.send(sender, new Message.RoleGrant(claim.term()));
-            }
-        } else if (message instanceof Message.RoleGrant grant) {
-            election.granted(sender, grant.term(), register.acceptors());
-        } else if (message instanceof Message.FetchValue) {
-            register.chosen()
-                    .ifPresent(
-                            chosen ->
-                                    peers.send(
-                                            sender,
-                                            new Message.Learn(chosen.ballot(), chosen.value())));
-        } else if (message instanceof Message.ServersChanged changed) {
-            servers.takeIn(now, changed.servers());
-            if (changed.request() != 0) {
-                peers.send(sender, new Message.ServersHeld(changed.request()));
-            }
-        } else if (message instanceof Message.ServersHeld held) {
-            servers.held(sender, held.request());
-        } else if (message instanceof Message.FetchRegistry) {
-            peers.send(sender, servers.snapshot(now));
-        } else if (message instanceof Message.RegistrySnapshot snapshot) {
-            servers.takeIn(now, snapshot);
-        }
-    }
-
-    private void onBeat(long now, String sender, Message.CoreBeat beat) {
-        peers.send(sender, new Message.BeatEcho(beat.sequence()));
-        beat.cores().forEach(core -> peers.know(core, now));
-        register.peerHolds(now, beat.accepted(), beat.promised(), beat.acceptors());
-        long known = register.chosen().map(chosen -> chosen.value().revision()).orElse(-1L);
-        Ballot ballot = register.chosen().map(RegisterReplica.Chosen::ballot).orElse(Ballot.ZERO);
-        if (beat.revision() > known
-                || beat.revision() == known && beat.chosen().compareTo(ballot) > 0) {
-            peers.send(sender, new Message.FetchValue());
-        }
-        beat.edges().forEach(edge -> edges.relayed(now, edge));
-        servers.compare(now, sender, beat);
-    }
-
-    private void news() {
-        if (!newsPending) {
-            newsPending = true;
-            loop.execute(
-                    () -> {
-                        newsPending = false;
-                        polls.news();
-                    });
+            core.hello(hello.sender());
+        } else if (from.attr(SENDER).get() != null) {
+            core.received(from.attr(SENDER).get(), message);
         }
     }
 
-    // ---- servers ----
+    // ---- what operators and servers ask ----
 
     @Override
     public void register(ServerRecord server, Consumer<Boolean> acknowledged) {
-        servers.register(now(), server, acknowledged);
+        core.register(server, acknowledged);
     }
 
     @Override
     public void leave(String id, Consumer<Boolean> acknowledged) {
-        servers.leave(now(), id, acknowledged);
+        core.serverLeaves(id, acknowledged);
     }
 
-    // ---- operators ----
-
     @Override
     public void change(ConfigOrder order, Consumer<OrderResult> end) {
-        long now = now();
-        if (isFenced()) {
-            end.accept(new OrderResult.Unclear());
-            return;
-        }
-        register.submit(
-                now, order, now + ORDER_LIMIT_MS, outcome -> end.accept(order.resultOf(outcome)));
+        core.change(order, end);
     }
 
     @Override
     public void readConfig(Consumer<ControlApi.Answer> end) {
-        long now = now();
-        register.submit(
-                now,
-                Change.READ,
-                now + ORDER_LIMIT_MS,
-                outcome -> {
-                    if (outcome instanceof Outcome.Chosen read && read.value().generation() > 0) {
-                        end.accept(
-                                new ControlApi.Answer(
-                                        HttpResponseStatus.OK,
-                                        DocumentCodec.decode(read.value().document())));
-                    } else {
+        core.readConfig(
+                json ->
                         end.accept(
-                                ControlApi.Answer.of(HttpResponseStatus.SERVICE_UNAVAILABLE, "{}"));
-                    }
-                });
+                                json.map(read -> new ControlApi.Answer(HttpResponseStatus.OK, read))
+                                        .orElseGet(
+                                                () ->
+                                                        ControlApi.Answer.of(
+                                                                HttpResponseStatus
+                                                                        .SERVICE_UNAVAILABLE,
+                                                                "{}"))));
     }
 
     @Override
     public String status() {
-        return new StatusPage(now(), self, register, registry, edges, peers, contact, fenced)
-                .json();
-    }
-
-    // ---- the register's host ----
-
-    @Override
-    public void send(String acceptor, Vote vote) {
-        if (acceptor.equals(self)) {
-            loop.execute(() -> register.on(now(), self, vote));
-        } else {
-            peers.send(acceptor, new Message.RegisterVote(vote));
-        }
-    }
-
-    @Override
-    public void chosen(RegisterReplica.Chosen chosen, boolean own) {
-        LOG.info("in force: {}", chosen.value());
-        chosen.value().acceptors().everyone().forEach(acceptor -> peers.know(acceptor, now()));
-        if (own) {
-            peers.sendToAll(new Message.Learn(chosen.ballot(), chosen.value()));
-        }
-        news();
-    }
-
-    // ---- what polls are answered from ----
-
-    @Override
-    public Optional<RegisterValue> value() {
-        return isFenced()
-                ? Optional.empty()
-                : register.chosen()
-                        .map(RegisterReplica.Chosen::value)
-                        .filter(value -> value.generation() > 0);
-    }
-
-    @Override
-    public long quorumAgeMs() {
-        AcceptorSet acceptors = register.acceptors();
-        return acceptors.members().isEmpty()
-                ? Integer.MAX_VALUE
-                : contact.quorumAgeMs(now(), acceptors);
-    }
-
-    @Override
-    public List<String> cores() {
-        return peers.inContact(now(), CONTACT_MS);
+        return core.status();
     }
 }
--- a/system/src/main/java/poppynotch/control/CorePeers.java
+++ b/system/src/main/java/poppynotch/control/CorePeers.java
@@ -23,7 +23,7 @@
  * whose echo does not come close a connection, so that what a cut holds up does not outlast it.
  * Owned by the event loop.
  */
-final class CorePeers {
+final class CorePeers implements Peers {
 
     private static final int CONNECT_MS = 500;
     private static final long RECONNECT_MS = 250;
@@ -111,40 +111,40 @@
                                 });
     }
 
-    /** A core process exists, by the settings or by what others say. */
-    void know(String address, long nowMs) {
+    @Override
+    public void know(String address, long nowMs) {
         if (!address.equals(self)) {
             links.computeIfAbsent(address, key -> new Link(HostPort.parse(key))).namedMs = nowMs;
         }
     }
 
-    /** Control addresses of all core processes that are known, this one included. */
-    List<String> known() {
+    @Override
+    public List<String> known() {
         TreeSet<String> all = new TreeSet<>(links.keySet());
         all.add(self);
         return new ArrayList<>(all);
     }
 
-    /**
-     * Control addresses of core processes that were in contact within a time, this one included.
-     */
-    List<String> inContact(long nowMs, long withinMs) {
+    @Override
+    public List<String> inContact(long nowMs, long withinMs) {
         return known().stream().filter(peer -> contact.ageMs(nowMs, peer) <= withinMs).toList();
     }
 
-    void send(String peer, Message message) {
+    @Override
+    public void send(String peer, Message message) {
         Link link = links.get(peer);
         if (link != null) {
             link.send(message);
         }
     }
 
-    void sendToAll(Message message) {
+    @Override
+    public void sendToAll(Message message) {
         links.values().forEach(link -> link.send(message));
     }
 
-    /** The number of the next heartbeat, whose echoes are to be told here. */
-    long nextBeat(long nowMs) {
+    @Override
+    public long nextBeat(long nowMs) {
         sentMs.put(++sequence, nowMs);
         if (sentMs.size() > MOST_UNECHOED) {
             sentMs.remove(sentMs.keySet().iterator().next());
@@ -152,17 +152,19 @@
         return sequence;
     }
 
-    void echoed(String peer, long beat) {
+    @Override
+    public long echoed(String peer, long beat) {
         Long sent = sentMs.get(beat);
         Link link = links.get(peer);
-        if (sent != null && link != null) {
-            contact.echoed(peer, sent);
-            link.aliveMs = clock.getAsLong();
+        if (sent == null || link == null) {
+            return -1;
         }
+        link.aliveMs = clock.getAsLong();
+        return sent;
     }
 
-    /** Connects to those without a connection, and gives up connections that are silent. */
-    void tick(long nowMs) {
+    @Override
+    public void tick(long nowMs) {
         links.values().removeIf(link -> link.channel == null && nowMs - link.namedMs > FORGET_MS);
         for (Link link : links.values()) {
             if (link.channel != null && nowMs - link.aliveMs > SILENCE_MS) {
--- a/system/src/main/java/poppynotch/control/PollHub.java
+++ b/system/src/main/java/poppynotch/control/PollHub.java
@@ -1,23 +1,24 @@
 package poppynotch.control;
 
-import io.netty.channel.Channel;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import poppynotch.register.RegisterValue;
 import poppynotch.wire.Message;
-import poppynotch.wire.RecordChannel;
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.Usage;
 
 /**
  * Edges' long polls: each is answered when there is news for it, or after a short time as a sign of
- * life.
+ * life. It does no I/O and is told the time.
+ *
+ * @param <C> what stands for an edge's connection
  */
-final class PollHub {
+final class PollHub<C> {
 
     /** A poll without news is answered after this time. */
     private static final long HOLD_MS = 200;
@@ -47,28 +48,31 @@
     private final EdgeDirectory edges;
     private final Source source;
     private final LongSupplier clock;
-    private final Map<Channel, Waiting> waiting = new HashMap<>();
+    private final BiConsumer<C, Message> replies;
+    private final Map<C, Waiting> waiting = new HashMap<>();
 
     /** The version of the totals that each connection was told last. */
-    private final Map<Channel, Long> toldUsage = new HashMap<>();
+    private final Map<C, Long> toldUsage = new HashMap<>();
 
     /** The edges' addresses that each connection was told last. */
-    private final Map<Channel, List<String>> toldEdges = new HashMap<>();
+    private final Map<C, List<String>> toldEdges = new HashMap<>();
 
     PollHub(
             long incarnation,
             ServerRegistry registry,
             EdgeDirectory edges,
             Source source,
-            LongSupplier clock) {
+            LongSupplier clock,
+            BiConsumer<C, Message> replies) {
         this.incarnation = incarnation;
         this.registry = registry;
         this.edges = edges;
         this.source = source;
         this.clock = clock;
+        this.replies = replies;
     }
 
-    void poll(Channel from, Message.Poll poll) {
+    void poll(C from, Message.Poll poll) {
         long now = clock.getAsLong();
         edges.renew(now, poll.edge(), poll.incarnation(), poll.address(), poll.usage());
         Waiting parked = new Waiting(poll, now + HOLD_MS);
@@ -79,7 +83,7 @@
         }
     }
 
-    void closed(Channel channel) {
+    void closed(C channel) {
         waiting.remove(channel);
         toldUsage.remove(channel);
         toldEdges.remove(channel);
@@ -87,9 +91,9 @@
 
     /** Something has changed that edges are to know at once. */
     void news() {
-        Iterator<Map.Entry<Channel, Waiting>> all = waiting.entrySet().iterator();
+        Iterator<Map.Entry<C, Waiting>> all = waiting.entrySet().iterator();
         while (all.hasNext()) {
-            Map.Entry<Channel, Waiting> next = all.next();
+            Map.Entry<C, Waiting> next = all.next();
             if (hasNews(next.getValue().poll)) {
                 all.remove();
                 reply(next.getKey(), next.getValue());
@@ -98,9 +102,9 @@
     }
 
     void tick(long nowMs) {
-        Iterator<Map.Entry<Channel, Waiting>> all = waiting.entrySet().iterator();
+        Iterator<Map.Entry<C, Waiting>> all = waiting.entrySet().iterator();
         while (all.hasNext()) {
-            Map.Entry<Channel, Waiting> next = all.next();
+            Map.Entry<C, Waiting> next = all.next();
             if (nowMs >= next.getValue().untilMs) {
                 all.remove();
                 reply(next.getKey(), next.getValue());
@@ -114,7 +118,7 @@
                 || source.value().filter(value -> value.revision() > poll.revision()).isPresent();
     }
 
-    private void reply(Channel to, Waiting answered) {
+    private void reply(C to, Waiting answered) {
         Message.Poll poll = answered.poll;
         long now = clock.getAsLong();
         boolean whole = poll.coreIncarnation() != incarnation;
@@ -130,7 +134,7 @@
         toldUsage.put(to, edges.usageVersion());
         List<String> addresses = edges.addresses(now);
         boolean sameEdges = addresses == toldEdges.put(to, addresses);
-        RecordChannel.send(
+        replies.accept(
                 to,
                 new Message.PollReply(
                         poll.poll(),
--- a/system/src/main/java/poppynotch/control/RegisterReplica.java
+++ b/system/src/main/java/poppynotch/control/RegisterReplica.java
@@ -36,11 +36,11 @@
 
     /**
      * A value that others accepted and nobody has announced is looked into after this time, and
-     * some more.
+     * some more. Both together stay well below the time after which a process vouches no more.
      */
-    private static final long REPAIR_MS = 300;
+    private static final long REPAIR_MS = 200;
 
-    private static final int REPAIR_SPREAD_MS = 300;
+    private static final int REPAIR_SPREAD_MS = 200;
     private static final int FIRST_READ_SPREAD_MS = 200;
     private static final long READ_LIMIT_MS = 1500;
 
@@ -62,6 +62,7 @@
     private long readAtMs = Long.MIN_VALUE;
     private boolean reading;
     private Ballot acceptedElsewhere = Ballot.ZERO;
+    private Ballot kept = Ballot.ZERO;
 
     /**
      * A replica that goes on from a kept state, or must recover its vote first where there is none.
@@ -81,7 +82,11 @@
         this.host = host;
         this.acceptors = kept.map(state -> state.value().acceptors()).orElse(acceptors);
         acceptor = new Acceptor(kept);
-        kept.ifPresent(state -> highest = state.promised());
+        kept.ifPresent(
+                state -> {
+                    highest = state.promised();
+                    this.kept = state.accepted();
+                });
         random = new SplittableRandom(incarnation);
     }
 
@@ -100,6 +105,11 @@
         return acceptor.state().map(AcceptorState::accepted).orElse(Ballot.ZERO);
     }
 
+    /** The ballot of the newest value that this process has on disk; zero while it may not vote. */
+    public Ballot kept() {
+        return acceptor.mayVote() ? kept : Ballot.ZERO;
+    }
+
     /** The highest ballot that it has promised or heard of. */
     public Ballot highest() {
         return highest;
@@ -172,16 +182,27 @@
             host.send(from, answer.vote());
         } else {
             // Also an answer that changes nothing waits for what was promised before it.
-            storage.persist(answer.state(), () -> host.send(from, answer.vote()));
+            persist(answer.state(), () -> host.send(from, answer.vote()));
         }
     }
 
+    private void persist(AcceptorState state, Runnable then) {
+        storage.persist(
+                state,
+                () -> {
+                    if (state != null) {
+                        kept = Ballot.max(kept, state.accepted());
+                    }
+                    then.run();
+                });
+    }
+
     private void recovered(AcceptorState state) {
         recovery = null;
         acceptor.recover(state);
         acceptors = state.value().acceptors();
         highest = Ballot.max(highest, state.promised());
-        storage.persist(state, () -> {});
+        persist(state, () -> {});
     }
 
     /** A value is known to be chosen. */
@@ -196,6 +217,8 @@
         }
         chosen = told;
         acceptors = told.value().acceptors();
+        // A replica that has no vote yet, or missed this one, so has the value on disk as well.
+        acceptor.adopt(told.ballot(), told.value()).ifPresent(state -> persist(state, () -> {}));
         host.chosen(told, own);
     }
 
--- a/system/src/main/java/poppynotch/control/RegistryService.java
+++ b/system/src/main/java/poppynotch/control/RegistryService.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -57,7 +56,7 @@
 
     private final String self;
     private final ServerRegistry registry;
-    private final CorePeers peers;
+    private final Peers peers;
     private final Supplier<AcceptorSet> acceptors;
     private final BooleanSupplier fenced;
     private final Runnable news;
@@ -81,7 +80,7 @@
     RegistryService(
             String self,
             ServerRegistry registry,
-            CorePeers peers,
+            Peers peers,
             Supplier<AcceptorSet> acceptors,
             BooleanSupplier fenced,
             Runnable news) {
@@ -140,14 +139,11 @@
             acknowledged.accept(false);
             return;
         }
-        Optional<ServerRecord> left = registry.leave(nowMs, id);
-        if (left.isEmpty()) {
-            acknowledged.accept(true);
-            return;
-        }
-        LOG.info("server {} of {} has left", id, left.get().backend());
+        // Others may list a server that is not known here: its end is held and told all the same.
+        ServerRecord left = registry.leave(nowMs, id);
+        LOG.info("server {} of {} has left", id, left.backend());
         news.run();
-        spread(nowMs, left.get(), acknowledged);
+        spread(nowMs, left, acknowledged);
     }
 
     /** Tells the other core processes, and ends once a majority holds it. */
@@ -178,7 +174,7 @@
         boolean changed = false;
         for (ServerRecord server : servers) {
             if (server.state() != ServerState.EXPIRED) {
-                changed |= registry.apply(nowMs, server);
+                changed |= registry.applyHearsay(nowMs, server);
             }
         }
         if (changed) {
@@ -197,7 +193,7 @@
     /** The whole registry, for another core process. */
     Message.RegistrySnapshot snapshot(long nowMs) {
         boolean complete = !fenced.getAsBoolean() && registry.isComplete(nowMs);
-        return new Message.RegistrySnapshot(complete, registry.all());
+        return new Message.RegistrySnapshot(complete, registry.firstHand());
     }
 
     /** A heartbeat of another core process: fetches its registry where the two differ for long. */
--- a/system/src/main/java/poppynotch/control/RoleElection.java
+++ b/system/src/main/java/poppynotch/control/RoleElection.java
@@ -14,13 +14,21 @@
 public final class RoleElection {
 
     /** How long a grant binds whoever gave it. */
-    public static final long LEASE_MS = 3000;
+    public static final long LEASE_MS = 1500;
 
     /** A holder counts its lease shorter, by what a clock may run differently. */
-    private static final long MARGIN_MS = 200;
+    private static final long MARGIN_MS = 100;
 
-    private static final long RENEW_MS = 1000;
-    private static final int SPREAD_MS = 600;
+    private static final long RENEW_MS = 500;
+
+    /**
+     * A claim without a majority after this time is given up: else several that have granted
+     * themselves would keep each other from the role for ever.
+     */
+    private static final long CLAIM_LIMIT_MS = 250;
+
+    private static final long NO_CLAIM = -1;
+    private static final int SPREAD_MS = 300;
 
     /** What goes to all others. */
     public interface Port {
@@ -34,7 +42,7 @@
     private long highestTerm;
     private String grantedTo = "";
     private long grantEndsMs = Long.MIN_VALUE;
-    private long claimedTerm;
+    private long claimedTerm = NO_CLAIM;
     private long claimedMs;
     private final Set<String> grants = new HashSet<>();
     private long heldUntilMs = Long.MIN_VALUE;
@@ -60,12 +68,13 @@
 
     /** Asks for the role when it is vacant, and for a longer lease while this process has it. */
     public void tick(long nowMs) {
+        giveUpClaim(nowMs);
         boolean vacant = nowMs >= grantEndsMs;
         boolean renews = isHolder(nowMs);
-        if (nowMs < nextClaimMs || !vacant && !renews && !grantedTo.equals(self)) {
+        if (nowMs < nextClaimMs || !vacant && !renews) {
             return;
         }
-        nextClaimMs = nowMs + (renews ? RENEW_MS : RENEW_MS + random.nextInt(SPREAD_MS));
+        nextClaimMs = nowMs + RENEW_MS;
         claimedTerm = ++highestTerm;
         claimedMs = nowMs;
         grants.clear();
@@ -75,6 +84,17 @@
         port.claim(claimedTerm);
     }
 
+    /** Frees this process's own grant; grants that come late do not count any more. */
+    private void giveUpClaim(long nowMs) {
+        boolean pending = claimedTerm != NO_CLAIM && !isHolder(nowMs);
+        if (pending && grantedTo.equals(self) && nowMs - claimedMs >= CLAIM_LIMIT_MS) {
+            claimedTerm = NO_CLAIM;
+            grantedTo = "";
+            grantEndsMs = nowMs;
+            nextClaimMs = nowMs + random.nextInt(SPREAD_MS);
+        }
+    }
+
     /** Another process asks for the role; true if it gets this process's grant. */
     public boolean claimed(long nowMs, String by, long term) {
         boolean free = nowMs >= grantEndsMs || grantedTo.equals(by);
@@ -82,6 +102,7 @@
         if (!free) {
             return false;
         }
+        claimedTerm = NO_CLAIM;
         grantedTo = by;
         grantEndsMs = nowMs + LEASE_MS;
         nextClaimMs = grantEndsMs + random.nextInt(SPREAD_MS);
--- a/system/src/main/java/poppynotch/control/ServerRegistry.java
+++ b/system/src/main/java/poppynotch/control/ServerRegistry.java
@@ -2,11 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import poppynotch.wire.Message;
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.ServerState;
@@ -32,10 +32,15 @@
      */
     private static final double COMPLETE_HEARTBEATS = 2.2;
 
+    private static final int MOST_ENTRIES = 8192;
+
     private static final class Entry {
         ServerRecord server;
         long heardMs;
 
+        /** It was not heard of lately, only told by another core process or held over a cut. */
+        boolean hearsay;
+
         /** The registry's version at its latest change. */
         long version;
 
@@ -58,10 +63,26 @@
         restart(nowMs);
     }
 
-    /** Heartbeats may have been missed: what is not listed may exist all the same. */
+    /**
+     * Heartbeats may have been missed: what is not listed may exist all the same, and what is
+     * listed has until the list is complete again to be heard of. It gets no whole lease: its end
+     * may have been told elsewhere, to core processes that have forgotten it.
+     */
     public void restart(long nowMs) {
-        completeAtMs = nowMs + (long) (COMPLETE_HEARTBEATS * heartbeatMs);
-        entries.values().forEach(entry -> entry.heardMs = nowMs);
+        completeAtMs = nowMs + completeMs();
+        entries.values().forEach(entry -> becomesHearsay(nowMs, entry));
+    }
+
+    private void becomesHearsay(long nowMs, Entry entry) {
+        if (entry.server.state() != ServerState.LEFT && !entry.hearsay) {
+            entry.hearsay = true;
+            // When it would have been heard if its lease ended with the time to complete a list.
+            entry.heardMs = Math.max(entry.heardMs, nowMs - leaseMs + completeMs());
+        }
+    }
+
+    private long completeMs() {
+        return (long) (COMPLETE_HEARTBEATS * heartbeatMs);
     }
 
     /** Whether every server that lives is listed. */
@@ -85,11 +106,13 @@
         if (entry == null) {
             entry = new Entry(server);
             entries.put(server.id(), entry);
+            forgetOldest();
         } else if (entry.server.state() == ServerState.LEFT || isStale(entry.server, server)) {
             return false;
         } else {
             boolean same = entry.server.sameAs(server);
             entry.server = server;
+            entry.hearsay = false;
             if (same) {
                 entry.heardMs = nowMs;
                 heard.put(server.id(), server.sequence());
@@ -101,6 +124,38 @@
         return true;
     }
 
+    /**
+     * Takes in what another core process knows; true if it changes what is known of the server. One
+     * that was not known here gets no whole lease: it must be heard of, as the word may be old. One
+     * that was known is not heard of by that.
+     */
+    public boolean applyHearsay(long nowMs, ServerRecord server) {
+        Entry known = entries.get(server.id());
+        if (known != null && known.server.sameAs(server)) {
+            return false;
+        }
+        boolean wasAway = known == null || known.server.state() == ServerState.EXPIRED;
+        boolean changed = apply(nowMs, server);
+        if (changed && wasAway) {
+            Entry entry = entries.get(server.id());
+            entry.hearsay = false;
+            entry.heardMs = server.state() == ServerState.LEFT ? nowMs : Long.MIN_VALUE / 2;
+            becomesHearsay(nowMs, entry);
+        }
+        return changed;
+    }
+
+    /** Tombstones are many only if somebody invents ids: the oldest give way. */
+    private void forgetOldest() {
+        if (entries.size() > MOST_ENTRIES) {
+            entries.entrySet().stream()
+                    .filter(entry -> entry.getValue().server.state() == ServerState.LEFT)
+                    .min(Comparator.comparingLong(entry -> entry.getValue().heardMs))
+                    .map(Map.Entry::getKey)
+                    .ifPresent(entries::remove);
+        }
+    }
+
     private static boolean isStale(ServerRecord known, ServerRecord told) {
         if (told.state() == ServerState.LEFT) {
             return false;
@@ -110,15 +165,18 @@
         return told.sequence() < known.sequence() || revives && told.sequence() == known.sequence();
     }
 
-    /** A server has said that it ends. The record of its tombstone, if it was known. */
-    public Optional<ServerRecord> leave(long nowMs, String id) {
+    /**
+     * A server has said that it ends. The record of its tombstone, also where the server was not
+     * known: what others know of it must not come back.
+     */
+    public ServerRecord leave(long nowMs, String id) {
         Entry entry = entries.get(id);
-        if (entry == null) {
-            return Optional.empty();
-        }
-        ServerRecord left = entry.server.as(ServerState.LEFT);
+        ServerRecord left =
+                entry == null
+                        ? new ServerRecord(id, "", "", "", 0, ServerState.LEFT, 0)
+                        : entry.server.as(ServerState.LEFT);
         apply(nowMs, left);
-        return Optional.of(left);
+        return left;
     }
 
     /** Another core process has heard from a server. */
@@ -130,6 +188,7 @@
                 && sequence >= entry.server.sequence()) {
             entry.server = entry.server.withSequence(sequence);
             entry.heardMs = nowMs;
+            entry.hearsay = false;
         }
     }
 
@@ -173,6 +232,14 @@
         return entries.values().stream().map(entry -> entry.server).toList();
     }
 
+    /** Everything that another core process may take this one's word for: no hearsay of hearsay. */
+    public List<ServerRecord> firstHand() {
+        return entries.values().stream()
+                .filter(entry -> !entry.hearsay)
+                .map(entry -> entry.server)
+                .toList();
+    }
+
     /** Servers that take requests or end what they have. */
     public Collection<ServerRecord> living() {
         return all().stream()
--- a/system/src/main/java/poppynotch/control/StatusPage.java
+++ b/system/src/main/java/poppynotch/control/StatusPage.java
@@ -16,7 +16,7 @@
     private final RegisterReplica register;
     private final ServerRegistry registry;
     private final EdgeDirectory edges;
-    private final CorePeers peers;
+    private final Peers peers;
     private final QuorumContact contact;
     private final boolean fenced;
 
@@ -26,7 +26,7 @@
             RegisterReplica register,
             ServerRegistry registry,
             EdgeDirectory edges,
-            CorePeers peers,
+            Peers peers,
             QuorumContact contact,
             boolean fenced) {
         this.nowMs = nowMs;
--- /dev/null
+++ b/system/src/main/java/poppynotch/explore/FaultyMaintenance.java
@@ -0,0 +1,21 @@
+package poppynotch.explore;
+
+import java.util.List;
+import java.util.Optional;
+import poppynotch.control.AcceptorMaintenance;
+import poppynotch.register.AcceptorSet;
+import poppynotch.register.Ballot;
+import poppynotch.register.Change;
+
+/** Maintenance that hands no place among the acceptors on. */
+final class FaultyMaintenance extends AcceptorMaintenance {
+
+    FaultyMaintenance(int toleratedMachines) {
+        super(toleratedMachines);
+    }
+
+    @Override
+    public Optional<Change> due(long nowMs, AcceptorSet current, Ballot held, List<Core> cores) {
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/explore/ReplyTarget.java
@@ -0,0 +1,10 @@
+package poppynotch.explore;
+
+import poppynotch.wire.Message;
+
+/** What a core process answers an edge's polls on. */
+interface ReplyTarget {
+
+    /** A core process answers. */
+    void reply(VirtualCore from, Message message);
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/explore/SentOrder.java
@@ -0,0 +1,115 @@
+package poppynotch.explore;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import poppynotch.control.ConfigOrder;
+import poppynotch.control.Order;
+import poppynotch.control.OrderResult;
+import poppynotch.register.Outcome;
+import poppynotch.register.RegisterValue;
+
+/** An operator's order, and all that the operator was told of it. */
+final class SentOrder {
+
+    private static final int FORGETFUL_HISTORY = 4;
+
+    private final long generation;
+    private final long buildsOn;
+    private final byte[] json;
+    private final String content;
+    private final long digest;
+    private boolean taken;
+    private boolean refused;
+    private long takenMs = Long.MAX_VALUE;
+
+    SentOrder(long generation, long buildsOn, String content) {
+        this.generation = generation;
+        this.buildsOn = buildsOn;
+        this.content = content;
+        json =
+                ("{\"Generation\":"
+                                + generation
+                                + ",\"Routes\":[],\"Backends\":[{\"Name\":\""
+                                + content
+                                + "\"}]}")
+                        .getBytes(StandardCharsets.UTF_8);
+        digest = read().digest();
+    }
+
+    long generation() {
+        return generation;
+    }
+
+    long buildsOn() {
+        return buildsOn;
+    }
+
+    String content() {
+        return content;
+    }
+
+    long digest() {
+        return digest;
+    }
+
+    boolean isTaken() {
+        return taken;
+    }
+
+    boolean isRefused() {
+        return refused;
+    }
+
+    /** When the operator was first told that it is taken. */
+    long takenMs() {
+        return takenMs;
+    }
+
+    /** The operator is told; false if that contradicts what it was told before. */
+    boolean told(long nowMs, OrderResult result) {
+        if (result instanceof OrderResult.Taken) {
+            taken = true;
+            takenMs = Math.min(takenMs, nowMs);
+        } else if (!(result instanceof OrderResult.Unclear)) {
+            refused = true;
+        }
+        return !(taken && refused);
+    }
+
+    /** The order as it is sent, each time anew. */
+    Order order(Fault fault) {
+        ConfigOrder order = read();
+        return fault == Fault.HISTORY_OF_FOUR ? forgetful(order) : order;
+    }
+
+    private ConfigOrder read() {
+        ConfigOrder.Read read = ConfigOrder.read(ConfigOrder.Kind.WHOLE, buildsOn, json);
+        return ((ConfigOrder.Read.Good) read).order();
+    }
+
+    private static Order forgetful(ConfigOrder order) {
+        return new Order() {
+            @Override
+            public OrderResult resultOf(Outcome outcome) {
+                return order.resultOf(outcome);
+            }
+
+            @Override
+            public Decision decide(RegisterValue current) {
+                int surplus = Math.max(0, current.history().size() - FORGETFUL_HISTORY);
+                return order.decide(
+                        new RegisterValue(
+                                current.revision(),
+                                current.acceptors(),
+                                current.generation(),
+                                current.document(),
+                                current.history().subList(surplus, current.history().size())));
+            }
+        };
+    }
+
+    /** What a core process answers: nothing but the result. */
+    static Optional<OrderResult> clear(Optional<OrderResult> answer) {
+        return answer.filter(result -> !(result instanceof OrderResult.Unclear));
+    }
+}
--- /dev/null
+++ b/system/src/main/java/poppynotch/explore/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Drawn schedules of disruptions, played on the real control code with a virtual network, disks and
+ * clock.
+ */
+package poppynotch.explore;
--- a/system/src/main/java/poppynotch/router/ControlClient.java
+++ b/system/src/main/java/poppynotch/router/ControlClient.java
@@ -1,40 +1,29 @@
 package poppynotch.router;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ThreadLocalRandom;
+import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import poppynotch.register.RegisterValue;
-import poppynotch.settings.HostPort;
-import poppynotch.settings.NodeSettings;
 import poppynotch.wire.Message;
-import poppynotch.wire.RecordChannel;
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.Usage;
 
 /**
  * Long polls to two core processes at once, so that news comes also while one of them hangs. A core
- * process that is silent, or out of contact with a quorum, gives way to another. Owned by the event
- * loop.
+ * process that is silent, or out of contact with a quorum, gives way to another. It does no I/O of
+ * its own and is told the time.
  */
-final class ControlClient {
+public final class ControlClient {
 
     private static final Logger LOG = LoggerFactory.getLogger(ControlClient.class);
     private static final int LINKS = 2;
-    private static final int CONNECT_MS = 400;
 
     /** An answer is due within this time: core processes hold polls for less than half of it. */
     private static final long SILENCE_MS = 600;
@@ -44,14 +33,11 @@
 
     private static final long QUORUM_AGE_MS = 1000;
 
-    /** Without any good answer for so long, this edge counts as out of contact. */
-    private static final long CONTACT_MS = 1500;
-
     /** A core process that no other has named for so long is forgotten; seeds are not. */
     private static final long FORGET_MS = 60_000;
 
     /** Where the answers go. */
-    interface Listener extends QuotaFeed.Sink {
+    public interface Listener extends QuotaFeed.Sink {
         void value(RegisterValue value);
 
         void servers(Collection<ServerRecord> servers);
@@ -68,17 +54,20 @@
         long revision();
     }
 
-    private final class Link {
+    private final class Link implements ControlConnector.User {
         final int index;
         String core;
-        Channel channel;
+        ControlConnector.Connection connection;
         boolean connecting;
         long sentMs;
         boolean waiting;
         long poll;
         long coreIncarnation;
         long registryVersion;
+
+        /** The latest time for which the core process has vouched for what it said. */
         long goodMs = Long.MIN_VALUE / 2;
+
         final Map<String, Long> reported = new HashMap<>();
 
         Link(int index) {
@@ -89,51 +78,37 @@
             core = to;
             connecting = true;
             sentMs = now;
-            HostPort at = HostPort.parse(to).withPort(settings.peerPort());
-            ChannelFuture future =
-                    bootstrap
-                            .clone()
-                            .handler(
-                                    new ChannelInitializer<Channel>() {
-                                        @Override
-                                        protected void initChannel(Channel fresh) {
-                                            RecordChannel.install(
-                                                    fresh.pipeline(),
-                                                    (from, message) -> received(from, message));
-                                        }
-                                    })
-                            .connect(at.socketAddress());
-            future.addListener(
-                    done -> {
-                        connecting = false;
-                        if (done.isSuccess()) {
-                            connected(future.channel());
-                        } else {
-                            leave("it can't be reached");
-                        }
-                    });
+            connector.connect(to, this);
+        }
+
+        @Override
+        public void unreachable() {
+            connecting = false;
+            leave("it can't be reached");
         }
 
-        private void connected(Channel fresh) {
-            channel = fresh;
+        @Override
+        public void connected(ControlConnector.Connection fresh) {
+            connecting = false;
+            connection = fresh;
             reported.clear();
             quotas.begins(index);
             coreIncarnation = 0;
             registryVersion = 0;
             directory.forget(index);
-            fresh.closeFuture()
-                    .addListener(
-                            closed -> {
-                                if (channel == fresh) {
-                                    leave("the connection has ended");
-                                }
-                            });
             poll();
         }
 
+        @Override
+        public void closed(ControlConnector.Connection ended) {
+            if (ended.equals(connection)) {
+                leave("the connection has ended");
+            }
+        }
+
         void leave(String why) {
-            Channel before = channel;
-            channel = null;
+            ControlConnector.Connection before = connection;
+            connection = null;
             waiting = false;
             if (core != null) {
                 avoidUntilMs.put(core, clock.getAsLong() + AVOID_MS);
@@ -157,10 +132,9 @@
                             });
             sentMs = clock.getAsLong();
             waiting = true;
-            RecordChannel.send(
-                    channel,
+            connection.send(
                     new Message.Poll(
-                            settings.name(),
+                            name,
                             incarnation,
                             ownAddress,
                             ++poll,
@@ -170,8 +144,9 @@
                             usage));
         }
 
-        private void received(Channel from, Message message) {
-            if (from != channel
+        @Override
+        public void received(ControlConnector.Connection from, Message message) {
+            if (!from.equals(connection)
                     || !(message instanceof Message.PollReply reply)
                     || reply.poll() != poll) {
                 return;
@@ -182,15 +157,19 @@
                 return;
             }
             take(reply);
-            if (channel != null) {
+            if (connection != null) {
                 poll();
             }
         }
 
         private void take(Message.PollReply reply) {
-            goodMs = clock.getAsLong();
-            reply.cores().forEach(known -> cores.merge(known, goodMs, Math::max));
-            cores.values().removeIf(heardMs -> goodMs - heardMs > FORGET_MS);
+            long now = clock.getAsLong();
+            // The answer may have been under way for long, but was made after the poll was sent.
+            goodMs = sentMs - reply.quorumAgeMs();
+            reply.cores().forEach(known -> cores.merge(known, now, Math::max));
+            cores.values().removeIf(heardMs -> now - heardMs > FORGET_MS);
+            // Before a first configuration: quotas begin with a share that follows from the place.
+            listener.place(reply.edges(), reply.number());
             if (reply.value() != null && reply.value().revision() > listener.revision()) {
                 listener.value(reply.value());
             }
@@ -200,70 +179,73 @@
             }
             coreIncarnation = reply.coreIncarnation();
             registryVersion = reply.registryVersion();
-            listener.place(reply.edges(), reply.number());
             if (!reply.edgeAddresses().isEmpty()) {
                 listener.edges(reply.edgeAddresses());
             }
-            quotas.told(goodMs, index, reply.usage(), reported);
+            quotas.told(now, goodMs, index, reply.usage(), reported);
         }
     }
 
-    private final NodeSettings settings;
+    private final String name;
     private final String ownAddress;
     private final LongSupplier clock;
     private final Listener listener;
-    private final Bootstrap bootstrap;
-    private final long incarnation = ThreadLocalRandom.current().nextLong() | 1;
+    private final ControlConnector connector;
+    private final SplittableRandom random;
+    private final long incarnation;
     private final ServerDirectory directory = new ServerDirectory();
     private final Map<String, Long> cores = new LinkedHashMap<>();
     private final Map<String, Long> avoidUntilMs = new HashMap<>();
     private final List<Link> links = new ArrayList<>();
     private final QuotaFeed quotas;
 
-    ControlClient(EventLoop loop, NodeSettings settings, LongSupplier clock, Listener listener) {
-        this.settings = settings;
-        ownAddress = new HostPort(settings.ip(), settings.peerPort()).toString();
+    /**
+     * A client for an edge.
+     *
+     * @param name of the edge
+     * @param ownAddress where it takes other edges' datagrams
+     * @param incarnation unique to this life of the edge
+     */
+    public ControlClient(
+            String name,
+            String ownAddress,
+            long incarnation,
+            LongSupplier clock,
+            ControlConnector connector,
+            Listener listener) {
+        this.name = name;
+        this.ownAddress = ownAddress;
+        this.incarnation = incarnation;
         this.clock = clock;
+        this.connector = connector;
         this.listener = listener;
+        random = new SplittableRandom(incarnation);
         quotas = new QuotaFeed(listener, SILENCE_MS);
-        bootstrap =
-                new Bootstrap()
-                        .group(loop)
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
-        know(settings);
         for (int i = 0; i < LINKS; i++) {
             links.add(new Link(i));
         }
     }
 
-    /** Takes in the seeds of settings. */
-    void know(NodeSettings told) {
-        told.seeds().forEach(seed -> cores.put(seed.toString(), Long.MAX_VALUE));
-    }
-
-    /** Whether a core process with a quorum has answered lately. */
-    boolean inContact() {
-        long now = clock.getAsLong();
-        return links.stream().anyMatch(link -> now - link.goodMs <= CONTACT_MS);
+    /** Takes in seeds: control addresses of core processes. */
+    public void know(List<String> seeds) {
+        seeds.forEach(seed -> cores.put(seed, Long.MAX_VALUE));
     }
 
     /** A server has told that it is not the one that was meant. */
-    void misdirected(String id) {
+    public void misdirected(String id) {
         if (directory.markLeft(id)) {
             listener.servers(directory.servers());
         }
     }
 
     /** Asks where nothing is asked, and leaves those who don't answer. */
-    void tick() {
+    public void tick() {
         long now = clock.getAsLong();
         for (Link link : links) {
-            if (link.channel != null && link.waiting && now - link.sentMs > SILENCE_MS) {
+            if (link.connection != null && link.waiting && now - link.sentMs > SILENCE_MS) {
                 link.leave("it is silent");
             }
-            if (link.channel == null && !link.connecting) {
+            if (link.connection == null && !link.connecting) {
                 String next = next(now, link);
                 if (next != null) {
                     link.connect(now, next);
@@ -283,12 +265,10 @@
                         .filter(core -> now >= avoidUntilMs.getOrDefault(core, Long.MIN_VALUE))
                         .toList();
         if (!good.isEmpty()) {
-            return good.get(ThreadLocalRandom.current().nextInt(good.size()));
+            return good.get(random.nextInt(good.size()));
         }
         boolean otherServes =
-                links.stream().anyMatch(other -> other != link && other.channel != null);
-        return free.isEmpty() || otherServes
-                ? null
-                : free.get(ThreadLocalRandom.current().nextInt(free.size()));
+                links.stream().anyMatch(other -> other != link && other.connection != null);
+        return free.isEmpty() || otherServes ? null : free.get(random.nextInt(free.size()));
     }
 }
--- a/system/src/main/java/poppynotch/router/EdgeNode.java
+++ b/system/src/main/java/poppynotch/router/EdgeNode.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -85,8 +86,21 @@
         this.loop = loop;
         state = new FleetState(settings);
         connections = new UpstreamConnections(loop, this::now);
-        control = new ControlClient(loop, settings, this::now, this);
-        peers = new EdgePeers(new HostPort(settings.ip(), settings.peerPort()), this::announced);
+        HostPort own = new HostPort(settings.ip(), settings.peerPort());
+        control =
+                new ControlClient(
+                        settings.name(),
+                        own.toString(),
+                        ThreadLocalRandom.current().nextLong() | 1,
+                        this::now,
+                        new TcpControlConnector(loop, settings.peerPort()),
+                        this);
+        control.know(addresses(settings));
+        peers = new EdgePeers(own, this::announced);
+    }
+
+    private static List<String> addresses(NodeSettings settings) {
+        return settings.seeds().stream().map(HostPort::toString).toList();
     }
 
     /** Starts an edge; an exception says plainly why it can't. */
@@ -174,7 +188,6 @@
         try {
             long now = now();
             control.tick();
-            state.quotas().place(state.edges(), !control.inContact());
             List.copyOf(active).forEach(exchange -> exchange.watch(now));
             if (now >= nextSweepMs) {
                 nextSweepMs = now + SWEEP_MS;
@@ -191,7 +204,7 @@
 
     /** The settings file has changed: the seeds may be others. */
     public void reload(NodeSettings changed) {
-        loop.execute(() -> control.know(changed));
+        loop.execute(() -> control.know(addresses(changed)));
     }
 
     /** The version of the configuration in force; 0 before the first. Any thread may ask. */
@@ -255,12 +268,12 @@
 
     @Override
     public void place(int edges, int number) {
-        state.place(edges, number);
+        state.place(now(), edges, number);
     }
 
     @Override
-    public void total(String tenant, long amount, long ownReported, boolean first) {
-        state.quotas().total(now(), tenant, amount, ownReported, first);
+    public void word(long upToMs, Map<String, Long> others, boolean continuous) {
+        state.quotas().word(now(), upToMs, others, continuous);
     }
 
     @Override
--- a/system/src/main/java/poppynotch/router/Exchange.java
+++ b/system/src/main/java/poppynotch/router/Exchange.java
@@ -412,6 +412,12 @@
 
         private void streamEnds() {
             ByteBuf rest = splitter.rest();
+            if (rest.isReadable() && !Headers.isFramed(head)) {
+                // Its connection has ended in the middle of an event.
+                rest.release();
+                failed(Failure.BROKEN);
+                return;
+            }
             if (rest.isReadable() || !headSent) {
                 pass(rest);
             } else {
--- a/system/src/main/java/poppynotch/router/FleetState.java
+++ b/system/src/main/java/poppynotch/router/FleetState.java
@@ -8,6 +8,7 @@
 import poppynotch.config.Backend;
 import poppynotch.config.FleetConfig;
 import poppynotch.config.Route;
+import poppynotch.pool.HeldCount;
 import poppynotch.pool.QuotaLedger;
 import poppynotch.pool.RetryBudget;
 import poppynotch.pool.ServerPool;
@@ -31,6 +32,9 @@
     private int edges = 1;
     private int number;
 
+    /** How many edges share the budgets and the quotas. */
+    private final HeldCount sharers = new HeldCount();
+
     FleetState(NodeSettings settings) {
         this.settings = settings;
         quotas = new QuotaLedger(settings.bounds().quotaSlackTokens());
@@ -85,19 +89,20 @@
     }
 
     /** How many edges there are, and which of them this one is. */
-    void place(int all, int ownNumber) {
+    void place(long nowMs, int all, int ownNumber) {
+        int before = sharers.count();
+        int sharing = sharers.told(nowMs, all);
+        if (sharing != before) {
+            budgets.values().forEach(budget -> budget.place(sharing, false));
+            quotas.place(sharing);
+        }
         if (all != edges || ownNumber != number) {
             edges = all;
             number = ownNumber;
             pools.values().forEach(pool -> pool.place(all, ownNumber, EdgePeers.hearAll(all)));
-            budgets.values().forEach(budget -> budget.place(all, false));
         }
     }
 
-    int edges() {
-        return edges;
-    }
-
     ServerPool pool(String backend) {
         return pools.get(backend);
     }
@@ -111,7 +116,7 @@
                                     settings.bounds().retryBudgetRatio(),
                                     settings.bounds().retryBudgetSlack(),
                                     settings.bounds().budgetWindowMs());
-                    budget.place(edges, true);
+                    budget.place(sharers.count(), true);
                     return budget;
                 });
     }
--- a/system/src/main/java/poppynotch/router/Headers.java
+++ b/system/src/main/java/poppynotch/router/Headers.java
@@ -2,6 +2,9 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.AsciiString;
 import java.util.ArrayList;
 import java.util.List;
@@ -133,6 +136,15 @@
         return -1;
     }
 
+    /** Whether an answer says where it ends; else it ends with its connection. */
+    static boolean isFramed(HttpResponse response) {
+        int status = response.status().code();
+        return HttpUtil.isTransferEncodingChunked(response)
+                || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+                || status == HttpResponseStatus.NO_CONTENT.code()
+                || status == HttpResponseStatus.NOT_MODIFIED.code();
+    }
+
     private static Map.Entry<String, String> pair(String text) {
         int equals = text.indexOf('=');
         return equals < 0
--- a/system/src/main/java/poppynotch/router/QuotaFeed.java
+++ b/system/src/main/java/poppynotch/router/QuotaFeed.java
@@ -1,35 +1,69 @@
 package poppynotch.router;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import poppynotch.wire.Usage;
 
 /**
- * Passes the sums of what tenants use on to the quotas. Sums of two core processes, or of two lives
- * of one, can't be compared: one connection is followed while it answers, and the first sum of each
- * tenant that it gives is told as such. It does no I/O and is told the time.
+ * Makes of the sums that core processes tell what other edges have used from word to word. Sums of
+ * two core processes, or of two lives of one, can't be compared: one connection is followed while
+ * it answers. For the others it is kept what they had told by the latest word, so that one of them
+ * can go on from there. It does no I/O and is told the time.
  */
-final class QuotaFeed {
+public final class QuotaFeed {
 
-    /** Where the sums go. */
-    interface Sink {
-        /** A sum; {@code first} where it can't be compared with what was told before. */
-        void total(String tenant, long amount, long ownReported, boolean first);
+    /** Where it goes. */
+    public interface Sink {
+        /**
+         * What other edges have used since the word before.
+         *
+         * @param upToMs the word covers what was used until then
+         * @param continuous nothing is missing between this word and the one before
+         */
+        void word(long upToMs, Map<String, Long> others, boolean continuous);
     }
 
     /** What one connection has told. */
     private static final class Source {
+        /** Tenants' sums, and what this edge had told of its own use then. */
         final Map<String, Long> totals = new HashMap<>();
-        long heardMs;
+
+        Map<String, Long> reported = Map.of();
+
+        /** The use of others by the latest word that was passed on; null before the first. */
+        Map<String, Long> othersBefore;
+
+        long heardMs = Long.MIN_VALUE / 2;
+
+        boolean hasTold() {
+            return heardMs >= 0;
+        }
+
+        Map<String, Long> others() {
+            Map<String, Long> others = new HashMap<>();
+            totals.forEach(
+                    (tenant, total) ->
+                            others.put(tenant, total - reported.getOrDefault(tenant, 0L)));
+            return others;
+        }
+
+        Map<String, Long> othersSince() {
+            Map<String, Long> since = new HashMap<>();
+            others().forEach(
+                            (tenant, amount) -> {
+                                long more = amount - othersBefore.getOrDefault(tenant, 0L);
+                                if (more != 0) {
+                                    since.put(tenant, more);
+                                }
+                            });
+            return since;
+        }
     }
 
     private final Sink sink;
     private final long silenceMs;
     private final Map<Integer, Source> sources = new HashMap<>();
-    private final Set<String> compared = new HashSet<>();
     private Source followed;
 
     /**
@@ -51,21 +85,26 @@
         }
     }
 
-    /** A connection tells sums; {@code reported} is what this edge had told on it. */
-    void told(long nowMs, int place, List<Usage> sums, Map<String, Long> reported) {
+    /**
+     * A connection tells sums.
+     *
+     * @param upToMs they cover what was used until then
+     * @param reported what this edge had told on that connection
+     */
+    void told(long nowMs, long upToMs, int place, List<Usage> sums, Map<String, Long> reported) {
         Source source = sources.computeIfAbsent(place, key -> new Source());
-        source.heardMs = nowMs;
         sums.forEach(sum -> source.totals.put(sum.tenant(), sum.amount()));
-        if (followed == null || followed != source && nowMs - followed.heardMs > silenceMs) {
-            followed = source;
-            compared.clear();
-            source.totals.forEach((tenant, amount) -> pass(tenant, amount, reported));
-        } else if (followed == source) {
-            sums.forEach(sum -> pass(sum.tenant(), sum.amount(), reported));
+        source.reported = Map.copyOf(reported);
+        source.heardMs = nowMs;
+        boolean others = followed != null && followed != source;
+        if (others && nowMs - followed.heardMs <= silenceMs) {
+            return;
         }
-    }
-
-    private void pass(String tenant, long amount, Map<String, Long> reported) {
-        sink.total(tenant, amount, reported.getOrDefault(tenant, 0L), compared.add(tenant));
+        followed = source;
+        boolean continuous = source.othersBefore != null;
+        sink.word(upToMs, continuous ? source.othersSince() : Map.of(), continuous);
+        sources.values().stream()
+                .filter(Source::hasTold)
+                .forEach(known -> known.othersBefore = known.others());
     }
 }
--- a/system/src/main/java/poppynotch/router/UpstreamConnections.java
+++ b/system/src/main/java/poppynotch/router/UpstreamConnections.java
@@ -11,7 +11,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -145,6 +144,9 @@
 
         private long keepMs = DEFAULT_IDLE_MS;
 
+        /** The connection has ended in another way than by the server's orderly close. */
+        private boolean reset;
+
         Connection(String serverId) {
             this.serverId = serverId;
         }
@@ -245,9 +247,14 @@
             if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
                 return;
             }
-            head = response;
             String id = response.headers().get(Headers.ATTEMPT_ID);
-            surplus = id != null && attemptId != null && !id.equals(attemptId);
+            if (id == null && attemptId != null) {
+                // Servers echo the id always: whose answer this is can't be known.
+                channel.close();
+                return;
+            }
+            head = response;
+            surplus = attemptId != null && !id.equals(attemptId);
             if (!surplus) {
                 long seconds = Headers.keepAliveSeconds(response.headers());
                 keepMs = seconds >= 0 ? (long) (seconds * 1000 * IDLE_PART) : keepMs;
@@ -257,6 +264,7 @@
 
         private void onContent(HttpContent content) {
             if (content.decoderResult().isFailure()) {
+                reset = true;
                 channel.close();
                 return;
             }
@@ -277,7 +285,9 @@
                 return;
             }
             UpstreamListener told = listener;
-            boolean framed = isFramed(ended);
+            boolean framed = Headers.isFramed(ended);
+            // One that ends with its connection is whole if the server closed that in good order.
+            boolean whole = framed || !reset;
             listener = null;
             if (framed
                     && HttpUtil.isKeepAlive(ended)
@@ -287,24 +297,13 @@
             } else {
                 channel.close();
             }
-            if (framed) {
+            if (whole) {
                 told.end();
             } else {
                 told.failed(UpstreamListener.Failure.BROKEN);
             }
         }
 
-        /**
-         * Whether the answer says where it ends: one that ends with its connection may not be
-         * whole.
-         */
-        private static boolean isFramed(HttpResponse response) {
-            return HttpUtil.isTransferEncodingChunked(response)
-                    || response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-                    || response.status().code() == 204
-                    || response.status().code() == 304;
-        }
-
         private void keep() {
             idleSinceMs = clock.getAsLong();
             idleUntilMs = idleSinceMs + keepMs;
@@ -340,6 +339,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            reset = true;
             ctx.close();
         }
     }
--- a/system/src/main/java/poppynotch/wire/Message.java
+++ b/system/src/main/java/poppynotch/wire/Message.java
@@ -24,9 +24,11 @@
      * @param cores control addresses of all core processes heard of lately
      * @param heard registrations since the last heartbeat that changed nothing
      * @param registryDigest differs where registries differ
+     * @param leaving the sender is about to end and gives its place among the acceptors away
      */
     record CoreBeat(
             long sequence,
+            boolean leaving,
             long revision,
             Ballot chosen,
             Ballot accepted,
@@ -42,8 +44,15 @@
     /** A registration of a known server. */
     record Heard(String id, long sequence) {}
 
-    /** The answer to a heartbeat. */
-    record BeatEcho(long sequence) implements Message {}
+    /**
+     * The answer to a heartbeat.
+     *
+     * @param votes whether the sender's acceptor may vote; if not, it vouches for nothing
+     * @param accepted the ballot that it accepted last, on disk or not yet
+     * @param kept the ballot of the newest value that it has on disk
+     */
+    record BeatEcho(long sequence, boolean votes, Ballot accepted, Ballot kept)
+            implements Message {}
 
     /** A vote for the register, or a question for one. */
     record RegisterVote(Vote vote) implements Message {}
--- a/system/src/main/java/poppynotch/wire/MessageCodec.java
+++ b/system/src/main/java/poppynotch/wire/MessageCodec.java
@@ -70,7 +70,12 @@
         return switch (kind) {
             case HELLO -> new Message.Hello(in.readUTF(), in.readLong());
             case CORE_BEAT -> readBeat(in);
-            case BEAT_ECHO -> new Message.BeatEcho(in.readLong());
+            case BEAT_ECHO ->
+                    new Message.BeatEcho(
+                            in.readLong(),
+                            in.readBoolean(),
+                            ValueCodec.readBallot(in),
+                            ValueCodec.readBallot(in));
             case REGISTER_VOTE -> new Message.RegisterVote(readVote(in));
             case LEARN -> new Message.Learn(ValueCodec.readBallot(in), ValueCodec.readValue(in));
             case ROLE_CLAIM -> new Message.RoleClaim(in.readLong());
@@ -116,6 +121,9 @@
         } else if (message instanceof Message.BeatEcho echo) {
             out.writeByte(BEAT_ECHO);
             out.writeLong(echo.sequence());
+            out.writeBoolean(echo.votes());
+            ValueCodec.writeBallot(out, echo.accepted());
+            ValueCodec.writeBallot(out, echo.kept());
         } else if (message instanceof Message.RegisterVote vote) {
             out.writeByte(REGISTER_VOTE);
             writeVote(out, vote.vote());
@@ -181,6 +189,7 @@
 
     private static void writeBeat(DataOutputStream out, Message.CoreBeat beat) throws IOException {
         out.writeLong(beat.sequence());
+        out.writeBoolean(beat.leaving());
         out.writeLong(beat.revision());
         ValueCodec.writeBallot(out, beat.chosen());
         ValueCodec.writeBallot(out, beat.accepted());
@@ -212,6 +221,7 @@
     private static Message readBeat(DataInputStream in) throws IOException {
         return new Message.CoreBeat(
                 in.readLong(),
+                in.readBoolean(),
                 in.readLong(),
                 ValueCodec.readBallot(in),
                 ValueCodec.readBallot(in),
