Count what no word covers by shares, and tell nothing of it

Edges refilled at the whole rate each until they noticed that no word came; use told to a core process without a quorum, and use under way when one ended, was debited nowhere; each word renewed what might be given out, also those that came with every change; an edge that was cut off kept its share while the others had it too. Ruled out: a count twice (EdgeDirectoryTest), leases alone (the first trial held the count of edges for 5 s and broke all the same). Change: the time that no word covers gives the even share alone, and is not told; from renewal to renewal two even shares of what is left; edges that are not heard of keep their share for 60 s.

--- a/system/src/main/java/poppynotch/control/EdgeDirectory.java
+++ b/system/src/main/java/poppynotch/control/EdgeDirectory.java
@@ -18,6 +18,9 @@
     /** How long an edge counts after it last renewed its lease. */
     private static final long LEASE_MS = 3000;
 
+    /** An edge polls several times in that, and core processes pass it on once at least. */
+    private static final long REPORTING_MS = 800;
+
     private static final long FORGET_MS = 60_000;
     private static final long REFRESH_MS = 100;
 
@@ -49,6 +52,7 @@
 
     private final Map<String, Edge> edges = new TreeMap<>();
     private List<String> present = List.of();
+    private int reporting;
     private List<String> addresses = List.of();
     private long refreshAtMs = Long.MIN_VALUE;
     private final Map<String, Total> totals = new HashMap<>();
@@ -146,6 +150,12 @@
         return new Place(Math.max(1, present.size()), found >= 0 ? found : -found - 1);
     }
 
+    /** How many edges have told their use lately, here or at another core process. */
+    public int reporting(long nowMs) {
+        refresh(nowMs);
+        return reporting;
+    }
+
     /** Names of the edges whose leases hold. */
     public List<String> present(long nowMs) {
         refresh(nowMs);
@@ -166,8 +176,12 @@
         refreshAtMs = nowMs + REFRESH_MS;
         List<String> names = new ArrayList<>();
         List<String> places = new ArrayList<>();
+        reporting = 0;
         edges.forEach(
                 (name, edge) -> {
+                    if (nowMs - edge.renewedMs <= REPORTING_MS) {
+                        reporting++;
+                    }
                     if (nowMs - edge.renewedMs <= LEASE_MS) {
                         names.add(name);
                         if (!edge.address.isEmpty()) {
--- a/system/src/main/java/poppynotch/control/PollHub.java
+++ b/system/src/main/java/poppynotch/control/PollHub.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,7 +50,7 @@
     private final Source source;
     private final LongSupplier clock;
     private final BiConsumer<C, Message> replies;
-    private final Map<C, Waiting> waiting = new HashMap<>();
+    private final Map<C, Waiting> waiting = new LinkedHashMap<>();
 
     /** The version of the totals that each connection was told last. */
     private final Map<C, Long> toldUsage = new HashMap<>();
@@ -147,6 +148,7 @@
                         servers,
                         place.edges(),
                         place.number(),
+                        edges.reporting(now),
                         usage,
                         source.cores(),
                         sameEdges ? List.of() : addresses));
--- a/system/src/main/java/poppynotch/explore/QuotaTraffic.java
+++ b/system/src/main/java/poppynotch/explore/QuotaTraffic.java
@@ -17,7 +17,7 @@
     private static final long WINDOW_MS = 8000;
     private static final double RULE_SLACK = 190_000;
     private static final double RULE_OVER = 1.1;
-    private static final double RATE_PER_S = 100_000;
+    static final double RATE_PER_S = 100_000;
     private static final double BURST = 160_000;
     private static final int MOST_TOKENS = 4000;
 
@@ -28,7 +28,9 @@
     private final Deque<Granted> window = new ArrayDeque<>();
     private long inWindow;
     private long most;
+    private long mostAtMs;
     private long total;
+    private long steps;
 
     private QuotaTraffic(Optional<Tenant> tenant, double demandPerS) {
         this.tenant = tenant;
@@ -64,6 +66,16 @@
         return most;
     }
 
+    /** When that window ended. */
+    long mostAtMs() {
+        return mostAtMs;
+    }
+
+    /** For how long there were requests, in seconds. */
+    double askedS() {
+        return steps * STEP_MS / 1000.0;
+    }
+
     /** All that was granted. */
     long total() {
         return total;
@@ -79,6 +91,7 @@
     private void step(World world, SplittableRandom random) {
         world.time().after(STEP_MS, () -> step(world, random));
         long now = world.time().getAsLong();
+        steps++;
         while (!window.isEmpty() && window.peek().atMs() <= now - WINDOW_MS) {
             inWindow -= window.poll().tokens();
         }
@@ -94,7 +107,10 @@
                 window.add(new Granted(now, tokens));
                 inWindow += tokens;
                 total += tokens;
-                most = Math.max(most, inWindow);
+                if (inWindow > most) {
+                    most = inWindow;
+                    mostAtMs = now;
+                }
             }
         }
     }
--- a/system/src/main/java/poppynotch/explore/VirtualEdge.java
+++ b/system/src/main/java/poppynotch/explore/VirtualEdge.java
@@ -175,7 +175,7 @@
 
     @Override
     public Map<String, Long> used() {
-        return quotas.used();
+        return quotas.used(time.getAsLong());
     }
 
     @Override
@@ -185,8 +185,8 @@
     }
 
     @Override
-    public void word(long upToMs, Map<String, Long> others, boolean continuous) {
+    public void word(long upToMs, Map<String, Long> others, int reporting, boolean continuous) {
         world.checker().edgeVouchedFor(this, upToMs);
-        quotas.word(time.getAsLong(), upToMs, others, continuous);
+        quotas.word(time.getAsLong(), upToMs, others, reporting, continuous);
     }
 }
--- a/system/src/main/java/poppynotch/pool/HeldCount.java
+++ b/system/src/main/java/poppynotch/pool/HeldCount.java
@@ -7,8 +7,11 @@
  */
 public final class HeldCount {
 
-    /** Longer than a sidecar's lease, and than a core process takes to hear of all of them. */
-    static final long HOLD_MS = 5000;
+    /**
+     * So long the share of a sidecar that is not heard of is left to it: it may be cut off from the
+     * control plane and serve on.
+     */
+    static final long HOLD_MS = 60_000;
 
     private int count = 1;
     private long lowerSinceMs = Long.MAX_VALUE;
--- a/system/src/main/java/poppynotch/pool/QuotaLedger.java
+++ b/system/src/main/java/poppynotch/pool/QuotaLedger.java
@@ -31,21 +31,43 @@
      */
     private static final double FIRST_LEVEL = 0.5;
 
-    /** Without a word for so long, others may have used what this sidecar takes to be left. */
-    static final long STALE_MS = 600;
+    /**
+     * Even shares of what is left that a sidecar may give out until the next word: more than one,
+     * as a tenant's requests are not spread evenly.
+     */
+    static final double SHARES = 2;
 
     private static final long LONGEST_WAIT_MS = 2000;
     private static final long LEAST_WAIT_MS = 50;
 
+    /** A word comes about so often, or sooner; allowances are renewed no more often. */
+    private static final long WORD_MS = 200;
+
+    /** A longer time between two words counts as covered by none. */
+    static final long LONGEST_GAP_MS = 1000;
+
     private static final class Bucket {
         Tenant tenant;
         double level;
 
-        /** Left to the others while no word comes. */
-        double reserved;
+        /** What may be given out here until the next word. */
+        double allowance;
 
         long filledMs;
+
+        /** Used here since this process started. */
         long used;
+
+        long usedSinceWord;
+
+        /** Since the allowance was renewed. */
+        long usedSinceRenewal;
+
+        /** The part of {@code used} that was this sidecar's own share while no word came. */
+        long untold;
+
+        /** What the control plane may have been told to be used here. */
+        long told;
     }
 
     private final double slack;
@@ -55,7 +77,8 @@
     /** Up to when the control plane's word covers others' use. */
     private long coveredMs = Long.MIN_VALUE;
 
-    private boolean stale = true;
+    /** When allowances were last renewed. */
+    private long renewedMs = Long.MIN_VALUE / 2;
 
     /** A ledger for a deployment whose rule lets quotas be passed by {@code slack} tokens. */
     public QuotaLedger(double slack) {
@@ -79,16 +102,20 @@
 
     /** Asks for an amount of a tenant's quota: 0 if it is granted, else the time in ms to wait. */
     public long take(long nowMs, Tenant tenant, long amount) {
-        watch(nowMs);
         Bucket bucket = bucket(nowMs, tenant);
         double overdraft = tenant.countsTokens() ? OVERDRAFT * slack / sidecars : 0;
         if (tenant.isLimited() && bucket.level + overdraft <= 0) {
-            double rate = stale ? share(tenant) : tenant.ratePerS();
-            double wait = -(bucket.level + overdraft) / rate * 1000;
+            double wait = -(bucket.level + overdraft) / tenant.ratePerS() * 1000;
             return Math.max(LEAST_WAIT_MS, Math.min(LONGEST_WAIT_MS, (long) wait));
         }
+        if (tenant.isLimited() && bucket.allowance + overdraft <= 0) {
+            return WORD_MS;
+        }
         bucket.level -= amount;
+        bucket.allowance -= amount;
         bucket.used += amount;
+        bucket.usedSinceWord += amount;
+        bucket.usedSinceRenewal += amount;
         return 0;
     }
 
@@ -96,7 +123,10 @@
     public void giveBack(long nowMs, Tenant tenant, long amount) {
         Bucket bucket = bucket(nowMs, tenant);
         bucket.level = Math.min(tenant.burst(), bucket.level + amount);
+        bucket.allowance += amount;
         bucket.used -= amount;
+        bucket.usedSinceWord -= amount;
+        bucket.usedSinceRenewal -= amount;
     }
 
     private Bucket bucket(long nowMs, Tenant tenant) {
@@ -106,6 +136,7 @@
                         name -> {
                             Bucket fresh = new Bucket();
                             fresh.level = FIRST_LEVEL * tenant.burst() / sidecars;
+                            fresh.allowance = fresh.level;
                             fresh.filledMs = nowMs;
                             return fresh;
                         });
@@ -119,60 +150,82 @@
     }
 
     private void fill(long nowMs, Bucket bucket) {
-        add(bucket, share(bucket.tenant) * (nowMs - bucket.filledMs) / 1000);
+        double added = share(bucket.tenant) * (nowMs - bucket.filledMs) / 1000;
+        add(bucket, added);
+        bucket.allowance = Math.min(bucket.tenant.burst(), bucket.allowance + added);
         bucket.filledMs = nowMs;
     }
 
     private static void add(Bucket bucket, double amount) {
-        bucket.level = Math.min(bucket.tenant.burst() - bucket.reserved, bucket.level + amount);
+        bucket.level = Math.min(bucket.tenant.burst(), bucket.level + amount);
     }
 
-    /** Sets aside what others may use of what is left, once no word has come for a while. */
-    private void watch(long nowMs) {
-        if (stale || nowMs - coveredMs <= STALE_MS) {
-            return;
-        }
-        stale = true;
-        for (Bucket bucket : buckets.values()) {
-            fill(nowMs, bucket);
-            bucket.reserved = Math.max(0, bucket.level) * (sidecars - 1) / sidecars;
-            bucket.level -= bucket.reserved;
-        }
-    }
-
-    /** What a tenant has used here since this process started. */
-    public Map<String, Long> used() {
+    /**
+     * What tenants have used here since this process started, as far as it is the others' concern:
+     * to be told to the control plane. It never goes back.
+     */
+    public Map<String, Long> used(long nowMs) {
+        boolean cutOff = gapMs(nowMs) > LONGEST_GAP_MS;
         Map<String, Long> used = new HashMap<>();
         buckets.forEach(
                 (name, bucket) -> {
-                    if (bucket.used > 0) {
-                        used.put(name, bucket.used);
+                    long since = cutOff ? Math.max(0, bucket.usedSinceWord) : 0;
+                    bucket.told = Math.max(bucket.told, bucket.used - bucket.untold - since);
+                    if (bucket.told > 0) {
+                        used.put(name, bucket.told);
                     }
                 });
         return used;
     }
 
+    /** The time up to one that no word covers. */
+    private long gapMs(long untilMs) {
+        return coveredMs == Long.MIN_VALUE ? 0 : Math.max(0, untilMs - coveredMs);
+    }
+
     /**
      * The control plane's word on what others use.
      *
      * @param upToMs the word covers what was used until then
      * @param others what other sidecars have used since the word before; tenants with none are left
      *     out
-     * @param continuous no word is missing between this one and the one before: else the time
-     *     between them is not covered
+     * @param reporting how many sidecars' use it covers, this one's included
+     * @param continuous no word is missing between this one and the one before
      */
-    public void word(long nowMs, long upToMs, Map<String, Long> others, boolean continuous) {
-        watch(nowMs);
-        double coveredS = continuous ? Math.max(0, upToMs - coveredMs) / 1000.0 : 0;
+    public void word(
+            long nowMs, long upToMs, Map<String, Long> others, int reporting, boolean continuous) {
+        long gapMs = gapMs(upToMs);
+        boolean covers = continuous && gapMs <= LONGEST_GAP_MS;
+        boolean renews = nowMs - renewedMs >= WORD_MS;
+        renewedMs = renews ? nowMs : renewedMs;
+        double othersPart = Math.max(0, Math.min(reporting, sidecars) - 1) / (double) sidecars;
         for (Map.Entry<String, Bucket> entry : buckets.entrySet()) {
             Bucket bucket = entry.getValue();
             fill(nowMs, bucket);
-            double left = continuous ? bucket.reserved : 0;
-            bucket.reserved = 0;
-            double filled = (bucket.tenant.ratePerS() - share(bucket.tenant)) * coveredS;
-            add(bucket, left + filled - others.getOrDefault(entry.getKey(), 0L));
+            if (covers) {
+                double filled = bucket.tenant.ratePerS() * othersPart * gapMs / 1000;
+                add(bucket, filled - others.getOrDefault(entry.getKey(), 0L));
+                if (renews) {
+                    renewAllowance(bucket);
+                }
+            } else {
+                // Others may have used all but this sidecar's share of what was left.
+                bucket.level = Math.min(bucket.level, bucket.level / sidecars);
+                bucket.allowance = Math.min(bucket.allowance, bucket.level);
+                bucket.usedSinceRenewal = 0;
+                double own = share(bucket.tenant) * gapMs / 1000;
+                long ownUse = (long) Math.min(own, Math.max(0, bucket.usedSinceWord));
+                bucket.untold = Math.min(bucket.untold + ownUse, bucket.used - bucket.told);
+            }
+            bucket.usedSinceWord = 0;
         }
-        coveredMs = continuous ? Math.max(coveredMs, upToMs) : upToMs;
-        stale = false;
+        coveredMs = Math.max(coveredMs, upToMs);
+    }
+
+    private void renewAllowance(Bucket bucket) {
+        double left = Math.max(0, bucket.level) * SHARES / sidecars;
+        // What was used since the renewal before may not be in the words to the others yet.
+        bucket.allowance = left - bucket.usedSinceRenewal;
+        bucket.usedSinceRenewal = 0;
     }
 }
--- a/system/src/main/java/poppynotch/router/ControlClient.java
+++ b/system/src/main/java/poppynotch/router/ControlClient.java
@@ -182,7 +182,7 @@
             if (!reply.edgeAddresses().isEmpty()) {
                 listener.edges(reply.edgeAddresses());
             }
-            quotas.told(now, goodMs, index, reply.usage(), reported);
+            quotas.told(now, goodMs, index, reply.reporting(), reply.usage(), reported);
         }
     }
 
--- a/system/src/main/java/poppynotch/router/EdgeNode.java
+++ b/system/src/main/java/poppynotch/router/EdgeNode.java
@@ -272,13 +272,13 @@
     }
 
     @Override
-    public void word(long upToMs, Map<String, Long> others, boolean continuous) {
-        state.quotas().word(now(), upToMs, others, continuous);
+    public void word(long upToMs, Map<String, Long> others, int reporting, boolean continuous) {
+        state.quotas().word(now(), upToMs, others, reporting, continuous);
     }
 
     @Override
     public Map<String, Long> used() {
-        return state.quotas().used();
+        return state.quotas().used(now());
     }
 
     @Override
--- a/system/src/main/java/poppynotch/router/QuotaFeed.java
+++ b/system/src/main/java/poppynotch/router/QuotaFeed.java
@@ -19,9 +19,10 @@
          * What other edges have used since the word before.
          *
          * @param upToMs the word covers what was used until then
+         * @param reporting how many edges' use it covers
          * @param continuous nothing is missing between this word and the one before
          */
-        void word(long upToMs, Map<String, Long> others, boolean continuous);
+        void word(long upToMs, Map<String, Long> others, int reporting, boolean continuous);
     }
 
     /** What one connection has told. */
@@ -89,9 +90,16 @@
      * A connection tells sums.
      *
      * @param upToMs they cover what was used until then
+     * @param reporting how many edges' use they cover
      * @param reported what this edge had told on that connection
      */
-    void told(long nowMs, long upToMs, int place, List<Usage> sums, Map<String, Long> reported) {
+    void told(
+            long nowMs,
+            long upToMs,
+            int place,
+            int reporting,
+            List<Usage> sums,
+            Map<String, Long> reported) {
         Source source = sources.computeIfAbsent(place, key -> new Source());
         sums.forEach(sum -> source.totals.put(sum.tenant(), sum.amount()));
         source.reported = Map.copyOf(reported);
@@ -102,7 +110,7 @@
         }
         followed = source;
         boolean continuous = source.othersBefore != null;
-        sink.word(upToMs, continuous ? source.othersSince() : Map.of(), continuous);
+        sink.word(upToMs, continuous ? source.othersSince() : Map.of(), reporting, continuous);
         sources.values().stream()
                 .filter(Source::hasTold)
                 .forEach(known -> known.othersBefore = known.others());
--- a/system/src/main/java/poppynotch/wire/Message.java
+++ b/system/src/main/java/poppynotch/wire/Message.java
@@ -108,6 +108,7 @@
      * @param wholeRegistry the servers are all that are known, not changes
      * @param registryComplete the core process surely knows all servers
      * @param edges how many edges hold a lease, and {@code number} which of them this one is
+     * @param reporting how many edges have told their use lately
      * @param usage what tenants have used at all edges, as the core process has counted since its
      *     start
      * @param edgeAddresses where all edges take datagrams; empty where that has not changed
@@ -123,6 +124,7 @@
             List<ServerRecord> servers,
             int edges,
             int number,
+            int reporting,
             List<Usage> usage,
             List<String> cores,
             List<String> edgeAddresses)
--- a/system/src/main/java/poppynotch/wire/MessageCodec.java
+++ b/system/src/main/java/poppynotch/wire/MessageCodec.java
@@ -257,6 +257,7 @@
         writeList(out, reply.servers(), MessageCodec::writeServer);
         out.writeInt(reply.edges());
         out.writeInt(reply.number());
+        out.writeInt(reply.reporting());
         writeList(out, reply.usage(), MessageCodec::writeUsage);
         ValueCodec.writeStrings(out, reply.cores());
         ValueCodec.writeStrings(out, reply.edgeAddresses());
@@ -278,6 +279,7 @@
                 readList(in, MessageCodec::readServer),
                 in.readInt(),
                 in.readInt(),
+                in.readInt(),
                 readList(in, MessageCodec::readUsage),
                 ValueCodec.readStrings(in),
                 ValueCodec.readStrings(in));
--- a/system/src/test/java/poppynotch/control/EdgeDirectoryTest.java
+++ b/system/src/test/java/poppynotch/control/EdgeDirectoryTest.java
@@ -24,6 +24,17 @@
         assertThat(edges.place(3100, "b")).isEqualTo(new EdgeDirectory.Place(1, 0));
     }
 
+    /** An edge that is cut off holds its lease for longer than what it uses is known. */
+    @Test
+    void anEdgeReportsWhileItIsHeardOf() {
+        edges.renew(0, "a", 1, "h:1", List.of());
+        edges.relayed(100, new EdgeLease("b", 1, "h:1", 50, List.of()));
+        assertThat(edges.reporting(200)).isEqualTo(2);
+        edges.renew(900, "a", 1, "h:1", List.of());
+        assertThat(edges.reporting(1000)).isEqualTo(1);
+        assertThat(edges.place(1000, "a").edges()).isEqualTo(2);
+    }
+
     @Test
     void usageIsCountedOnceWhoeverTellsIt() {
         edges.renew(0, "a", 1, "h:1", List.of());
