--- a/system/src/main/java/poppynotch/router/ClientConnection.java
+++ b/system/src/main/java/poppynotch/router/ClientConnection.java
@@ -193,7 +193,7 @@
 
     private void dispatch(ClientRequest request) {
         FleetConfig config = edge.state().config();
-        if (config == null) {
+        if (config == null || edge.takesNothingNew()) {
             reject(request, Reply.FULL, Reply.FULL.retryAfterMs());
             return;
         }
--- a/system/src/main/java/poppynotch/router/EdgeContext.java
+++ b/system/src/main/java/poppynotch/router/EdgeContext.java
@@ -31,5 +31,8 @@
     /** Whether clients are to go elsewhere: the process ends. */
     boolean isDraining();
 
+    /** The process ends soon: what comes now might not be answered in time, and is refused. */
+    boolean takesNothingNew();
+
     Set<ClientConnection> clients();
 }
--- a/system/src/main/java/poppynotch/router/EdgeNode.java
+++ b/system/src/main/java/poppynotch/router/EdgeNode.java
@@ -346,6 +346,11 @@
         control.misdirected(serverId);
     }
 
+    @Override
+    public boolean takesNothingNew() {
+        return draining && now() - drainingSinceMs >= LINGER_MS;
+    }
+
     @Override
     public boolean isDraining() {
         return draining;
--- a/system/src/test/java/poppynotch/control/ControlApiTest.java
+++ b/system/src/test/java/poppynotch/control/ControlApiTest.java
@@ -25,7 +25,7 @@
     private static final String GOOD = "{\"Generation\":1,\"Routes\":[],\"Backends\":[]}";
 
     /** Takes note of calls, and answers each as it is told. */
-    private static final class Noted implements ControlApi.Service {
+    private static class Noted implements ControlApi.Service {
         final List<ServerRecord> registered = new ArrayList<>();
         final List<String> left = new ArrayList<>();
         int changes;
@@ -101,6 +101,68 @@
         assertThat(service.left).containsExactly("i-1");
     }
 
+    /** Answers that are ready at different times go out in the order of their requests. */
+    @Test
+    void requestsOnOneConnectionAreAnsweredInTheirOrder() {
+        List<Runnable> ready = new ArrayList<>();
+        Noted slow =
+                new Noted() {
+                    @Override
+                    public void change(ConfigOrder order, Consumer<OrderResult> end) {
+                        changes++;
+                        ready.add(() -> end.accept(new OrderResult.Conflict(5)));
+                    }
+                };
+        EmbeddedChannel channel = new EmbeddedChannel(new ControlApi(slow));
+        channel.writeInbound(request(HttpMethod.PUT, "/poppynotch/config", GOOD));
+        channel.writeInbound(request(HttpMethod.GET, "/poppynotch/config", ""));
+        channel.writeInbound(request(HttpMethod.DELETE, "/poppynotch/instances/i-1", ""));
+        channel.writeInbound(request(HttpMethod.PUT, "/poppynotch/config", GOOD));
+        channel.writeInbound(request(HttpMethod.GET, "/none", ""));
+        assertThat((Object) channel.readOutbound()).isNull();
+        assertThat(slow.changes).isEqualTo(1);
+        ready.remove(0).run();
+        assertThat(statuses(channel)).containsExactly(412, 200, 200).inOrder();
+        ready.remove(0).run();
+        assertThat(statuses(channel)).containsExactly(412, 404).inOrder();
+    }
+
+    @Test
+    void aConnectionThatEndsTakesItsWaitingRequestsAlong() {
+        Noted slow =
+                new Noted() {
+                    @Override
+                    public void change(ConfigOrder order, Consumer<OrderResult> end) {
+                        changes++;
+                    }
+                };
+        EmbeddedChannel channel = new EmbeddedChannel(new ControlApi(slow));
+        channel.writeInbound(request(HttpMethod.PUT, "/poppynotch/config", GOOD));
+        FullHttpRequest waiting = request(HttpMethod.PUT, "/poppynotch/config", GOOD);
+        channel.writeInbound(waiting);
+        channel.close();
+        assertThat(waiting.refCnt()).isEqualTo(0);
+        assertThat(slow.changes).isEqualTo(1);
+    }
+
+    private static FullHttpRequest request(HttpMethod method, String uri, String body) {
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                method,
+                uri,
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+    }
+
+    private static List<Integer> statuses(EmbeddedChannel channel) {
+        List<Integer> statuses = new ArrayList<>();
+        for (FullHttpResponse next = channel.readOutbound();
+                next != null;
+                next = channel.readOutbound()) {
+            statuses.add(next.status().code());
+        }
+        return statuses;
+    }
+
     @Test
     void aRegistrationThatIsNotHeldIsTurnedAway() {
         service.acknowledges = false;
--- /dev/null
+++ b/system/src/test/java/poppynotch/control/OrderHistoryTest.java
@@ -0,0 +1,129 @@
+package poppynotch.control;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import poppynotch.register.AcceptorSet;
+import poppynotch.register.Ballot;
+import poppynotch.register.Change;
+import poppynotch.register.Outcome;
+import poppynotch.register.RegisterValue;
+
+/** Orders sent again after hundreds of others, and what that costs. */
+class OrderHistoryTest {
+
+    private static final int CHANGES = 600;
+    private static final int LARGEST_HISTORY_BYTES = 16 * RegisterValue.HISTORY + 512;
+
+    private final List<byte[]> bodies = new ArrayList<>();
+    private final List<Long> bases = new ArrayList<>();
+    private RegisterValue value = RegisterValue.initial(AcceptorSet.of(List.of("a")));
+
+    private static ConfigOrder order(long buildsOn, byte[] body) {
+        return ((ConfigOrder.Read.Good) ConfigOrder.read(ConfigOrder.Kind.WHOLE, buildsOn, body))
+                .order();
+    }
+
+    private OrderResult decide(ConfigOrder order) {
+        Change.Decision decision = order.decide(value);
+        if (decision instanceof Change.Decision.Replace replace) {
+            value = replace.value();
+        }
+        return order.resultOf(new Outcome.Chosen(Ballot.ZERO, value, true));
+    }
+
+    private OrderResult again(int index) {
+        return decide(order(bases.get(index), bodies.get(index)));
+    }
+
+    private void change(int index) {
+        byte[] body =
+                ("{\"Generation\":" + (2 * index + 1) + ",\"Routes\":[],\"Backends\":[]}")
+                        .getBytes(StandardCharsets.UTF_8);
+        bases.add(value.generation());
+        bodies.add(body);
+        assertThat(decide(order(value.generation(), body)))
+                .isEqualTo(new OrderResult.Taken(2L * index + 1));
+    }
+
+    @Test
+    void anOrderThatWasTakenIsNeverRefusedAtAnyDistance() {
+        for (int i = 0; i < CHANGES; i++) {
+            change(i);
+            for (int distance : new int[] {1, 8, 64, 399, 400, 450, i}) {
+                if (distance > i) {
+                    continue;
+                }
+                OrderResult result = again(i - distance);
+                assertWithMessage("change %s after %s others: %s", i - distance, distance, result)
+                        .that(
+                                result instanceof OrderResult.Taken
+                                        || result instanceof OrderResult.Unclear)
+                        .isTrue();
+                if (distance < RegisterValue.HISTORY) {
+                    assertThat(result).isInstanceOf(OrderResult.Taken.class);
+                }
+            }
+        }
+    }
+
+    /** An order that was not taken is refused as long as its base is remembered. */
+    @Test
+    void anOrderForAVersionThatHasASuccessorIsRefused() {
+        for (int i = 0; i < CHANGES; i++) {
+            change(i);
+        }
+        byte[] other =
+                "{\"Generation\":9999,\"Routes\":[],\"Backends\":[]}"
+                        .getBytes(StandardCharsets.UTF_8);
+        assertThat(decide(order(bases.get(CHANGES - 1), other)))
+                .isInstanceOf(OrderResult.Conflict.class);
+        assertThat(decide(order(bases.get(CHANGES - RegisterValue.HISTORY + 2), other)))
+                .isInstanceOf(OrderResult.Conflict.class);
+        assertThat(decide(order(bases.get(0), other))).isEqualTo(new OrderResult.Unclear());
+    }
+
+    /** After hundreds of changes a vote is no larger than after the history is full. */
+    @Test
+    void aVoteStaysOfOneSize() {
+        for (int i = 0; i < CHANGES; i++) {
+            change(i);
+            assertThat(value.history().size()).isAtMost(RegisterValue.HISTORY);
+        }
+        byte[] vote =
+                poppynotch.wire.MessageCodec.encode(
+                        new poppynotch.wire.Message.Learn(Ballot.ZERO, value));
+        assertThat(vote.length).isAtMost(LARGEST_HISTORY_BYTES);
+    }
+
+    /** The same number and base, another content: one of them is refused. */
+    @Test
+    void differentOrdersOfOneNumberAreDifferentOrders() {
+        change(0);
+        byte[] one =
+                "{\"Generation\":7,\"Routes\":[],\"Backends\":[]}".getBytes(StandardCharsets.UTF_8);
+        byte[] two =
+                "{\"Generation\":7,\"Routes\":[],\"Backends\":[{\"Name\":\"s\"}]}"
+                        .getBytes(StandardCharsets.UTF_8);
+        assertThat(decide(order(1, one))).isEqualTo(new OrderResult.Taken(7));
+        assertThat(decide(order(1, two))).isEqualTo(new OrderResult.Conflict(7));
+        assertThat(decide(order(1, one))).isEqualTo(new OrderResult.Taken(7));
+        ConfigOrder patch =
+                ((ConfigOrder.Read.Good) ConfigOrder.read(ConfigOrder.Kind.PATCH, 1, one)).order();
+        assertThat(decide(patch)).isEqualTo(new OrderResult.Conflict(7));
+    }
+
+    /** Refused on a version that is not current, then sent again when it is. */
+    @Test
+    void aRefusedOrderWhoseBaseComesToBeCurrentIsTakenThen() {
+        byte[] late =
+                "{\"Generation\":9,\"Routes\":[],\"Backends\":[]}".getBytes(StandardCharsets.UTF_8);
+        assertThat(decide(order(1, late))).isEqualTo(new OrderResult.Conflict(0));
+        change(0);
+        assertThat(decide(order(1, late))).isEqualTo(new OrderResult.Taken(9));
+    }
+}
--- a/system/src/test/java/poppynotch/control/RoleElectionTest.java
+++ b/system/src/test/java/poppynotch/control/RoleElectionTest.java
@@ -88,6 +88,37 @@
         assertThat(holders.get(0)).isNotEqualTo(before);
     }
 
+    /** Each has granted itself: they must give that up, or none ever gets a majority. */
+    @Test
+    void claimsAtTheSameTimeDoNotKeepTheRoleVacant() {
+        for (int seed = 1; seed <= 100; seed++) {
+            World world = new World(seed, false);
+            world.down[NAMES.indexOf("d")] = true;
+            for (String name : NAMES) {
+                RoleElection all = world.all.get(name);
+                all.tick(1800);
+            }
+            world.nowMs = 1800;
+            List<String> holders = List.of();
+            while (world.nowMs < 6000 && holders.isEmpty()) {
+                holders = world.step();
+            }
+            assertWithMessage("holders with seed " + seed).that(holders).hasSize(1);
+        }
+    }
+
+    /** What is freed after a claim that failed is the own grant, never another's. */
+    @Test
+    void aGrantToAnotherIsNotFreedByAnOldClaim() {
+        RoleElection own = new RoleElection("a", 0, 1, term -> {});
+        own.tick(1900);
+        assertThat(own.isHolder(1900)).isFalse();
+        own.tick(2200);
+        assertThat(own.claimed(2250, "b", 5)).isTrue();
+        own.tick(2600);
+        assertThat(own.claimed(2700, "c", 6)).isFalse();
+    }
+
     @Test
     void drawnSchedulesNeverHaveTwoHolders() {
         for (int seed = 1; seed <= 200; seed++) {
--- a/system/src/test/java/poppynotch/control/ServerRegistryTest.java
+++ b/system/src/test/java/poppynotch/control/ServerRegistryTest.java
@@ -33,6 +33,52 @@
         assertThat(registry.living()).isEmpty();
     }
 
+    /** Others may list a server whose end is told where it is not known. */
+    @Test
+    void theEndOfAServerThatIsNotKnownIsRemembered() {
+        ServerRecord left = registry.leave(0, "a");
+        assertThat(left.state()).isEqualTo(ServerState.LEFT);
+        assertThat(registry.apply(10, server("a", ServerState.READY, 5))).isFalse();
+        assertThat(registry.applyHearsay(10, server("a", ServerState.READY, 5))).isFalse();
+        assertThat(registry.living()).isEmpty();
+        assertThat(registry.changesSince(0)).containsExactly(left);
+    }
+
+    /** A list that two core processes hand to and fro must not keep a server alive. */
+    @Test
+    void theWordOfAnotherCoreProcessRenewsNoLease() {
+        registry.apply(0, server("a", ServerState.READY, 3));
+        registry.applyHearsay(3000, server("a", ServerState.READY, 3));
+        assertThat(registry.tick(4400)).isTrue();
+        assertThat(registry.living()).isEmpty();
+    }
+
+    @Test
+    void whatIsOnlyToldHasNoWholeLeaseAndIsNotToldOn() {
+        registry.applyHearsay(0, server("a", ServerState.READY, 3));
+        assertThat(registry.living()).hasSize(1);
+        assertThat(registry.firstHand()).isEmpty();
+        registry.tick(2300);
+        assertThat(registry.living()).isEmpty();
+        registry.applyHearsay(2400, server("b", ServerState.READY, 3));
+        registry.heard(3000, "b", 4);
+        assertThat(registry.firstHand()).hasSize(1);
+        registry.tick(6000);
+        assertThat(registry.living()).hasSize(1);
+    }
+
+    /** After a cut a server has until the list is complete again to be heard of. */
+    @Test
+    void whatWasKnownBeforeACutHasNoWholeLeaseAfterIt() {
+        registry.apply(0, server("a", ServerState.READY, 1));
+        registry.restart(3000);
+        registry.restart(4500);
+        registry.tick(5000);
+        assertThat(registry.living()).hasSize(1);
+        registry.tick(5300);
+        assertThat(registry.living()).isEmpty();
+    }
+
     @Test
     void aSilentServerExpiresAndComesBackWithItsNextHeartbeat() {
         registry.apply(0, server("a", ServerState.READY, 1));
--- a/system/src/test/java/poppynotch/router/ClientConnectionTest.java
+++ b/system/src/test/java/poppynotch/router/ClientConnectionTest.java
@@ -88,6 +88,16 @@
         assertThat(send(post("/none/x", "", ""))).startsWith("HTTP/1.1 404");
     }
 
+    /** Without a configuration nothing can be said of routes and keys. */
+    @Test
+    void beforeTheFirstConfigurationAllAreToldToComeBack() {
+        edge = new TestEdge((EventLoop) group.next(), SETTINGS, new ArrayList<>());
+        channel = new EmbeddedChannel(new HttpServerCodec(), new ClientConnection(edge));
+        assertThat(send(post("/none/x", "", ""))).startsWith("HTTP/1.1 503");
+        assertThat(send(post("/r/x", "Authorization: Bearer bad\r\n", "")))
+                .startsWith("HTTP/1.1 503");
+    }
+
     @Test
     void anUnknownKeyIsRefused() {
         assertThat(send(post("/r/x", "", ""))).startsWith("HTTP/1.1 401");
@@ -153,6 +163,18 @@
         assertThat(statuses).containsExactly("404", "503", "404").inOrder();
     }
 
+    /** A request that comes late in a drain might be cut off in the middle: it has not run. */
+    @Test
+    void lateInADrainRequestsAreRefusedWithATimeToComeBack() {
+        edge.draining = true;
+        edge.takesNothingNew = true;
+        String answer = send(post("/open/x", "", "b"));
+        assertThat(answer).startsWith("HTTP/1.1 503");
+        assertThat(answer).contains("retry-after: 0.0");
+        assertThat(answer).contains("connection: close");
+        assertThat(edge.active()).isEmpty();
+    }
+
     @Test
     void aProcessThatEndsSendsClientsElsewhere() {
         edge.draining = true;
--- a/system/src/test/java/poppynotch/router/ScriptedServer.java
+++ b/system/src/test/java/poppynotch/router/ScriptedServer.java
@@ -48,6 +48,12 @@
         script.add(step);
     }
 
+    /** What is done with the next request, whatever was to be done before. */
+    void replaceScript(Step step) {
+        script.clear();
+        script.add(step);
+    }
+
     private void accept() {
         try {
             while (true) {
@@ -142,6 +148,31 @@
         return answer("200 OK", "X-Poppynotch-Response-Seal: s\r\n", body);
     }
 
+    /** Bytes as they are; then the connection ends. */
+    static Step raw(String text) {
+        return (head, out, socket) -> {
+            write(out, text);
+            return false;
+        };
+    }
+
+    /** An answer without a length, which ends with its connection: in good order, or by a reset. */
+    static Step unframed(boolean reset, String body) {
+        return (head, out, socket) -> {
+            write(
+                    out,
+                    top(
+                                    head,
+                                    "200 OK",
+                                    "X-Poppynotch-Response-Seal: s\r\nConnection: close\r\n\r\n")
+                            + body);
+            if (reset) {
+                socket.setSoLinger(true, 0);
+            }
+            return false;
+        };
+    }
+
     /** The connection is reset with the request read. */
     static Step reset() {
         return (head, out, socket) -> {
--- a/system/src/test/java/poppynotch/router/TestEdge.java
+++ b/system/src/test/java/poppynotch/router/TestEdge.java
@@ -19,6 +19,7 @@
     private final Set<Exchange> active = new LinkedHashSet<>();
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     boolean draining;
+    boolean takesNothingNew;
 
     TestEdge(EventLoop loop, String settings, List<String> misdirected) {
         this.loop = loop;
@@ -67,6 +68,11 @@
         misdirected.add(serverId);
     }
 
+    @Override
+    public boolean takesNothingNew() {
+        return takesNothingNew;
+    }
+
     @Override
     public boolean isDraining() {
         return draining;
