--- a/system/src/main/java/poppynotch/demo/LoopbackFleet.java
+++ b/system/src/main/java/poppynotch/demo/LoopbackFleet.java
@@ -32,7 +32,7 @@
     private static final int EDGE_NET = 2;
     private static final int SERVER_NET = 3;
     private static final Bounds BOUNDS =
-            new Bounds(3000, 4000, 2000, 8000, 2000, 0.2, 50, 10_000, 100_000, 8000);
+            new Bounds(3000, 4000, 2000, 8000, 2000, 0.2, 50, 10_000, 0.1, 100_000, 8000);
     private static final String CONFIG =
             """
         {"Generation":1,"Routes":[
--- a/system/src/main/java/poppynotch/pool/QuotaLedger.java
+++ b/system/src/main/java/poppynotch/pool/QuotaLedger.java
@@ -15,16 +15,18 @@
  * <p>A bucket fills by this sidecar's even share of the rate as time passes, and by the others'
  * shares only for the time that the control plane's word covers, together with what the others have
  * used by then. So all sidecars that hear nothing give out the rate once, not once each; what may
- * be passed is what others use while their word is under way. When no word has come for a while,
- * only an even share of what was left is given out.
+ * be passed is what others use while their word is under way. Between two words a sidecar gives out
+ * a share of what is left, which follows where the tenant's requests come in. When no word has come
+ * for a while, only an even share of what was left is given out.
  */
 public final class QuotaLedger {
 
     /**
-     * The part of the rule's slack, an even share for each sidecar, by which a bucket may be
-     * overdrawn.
+     * The part of what a quota may be passed by that is given out like a burst, so that a tenant
+     * within its quota is not refused for what the sidecars do not know of each other. The rest is
+     * for what they grant at the same moment. Bound by {@code QuotaSchedulesTest}.
      */
-    private static final double OVERDRAFT = 0.15;
+    private static final double HEADROOM_PART = 0.15;
 
     /**
      * The part of a burst that all sidecars together take to be left when they have just started.
@@ -32,14 +34,23 @@
     private static final double FIRST_LEVEL = 0.5;
 
     /**
-     * Even shares of what is left that a sidecar may give out until the next word: more than one,
-     * as a tenant's requests are not spread evenly.
+     * Shares of what is left that a sidecar may give out until the next word: more than one, as a
+     * tenant's requests are not spread as they were before.
      */
-    static final double SHARES = 2;
+    static final double SHARES = 1.25;
 
-    private static final long LONGEST_WAIT_MS = 2000;
+    /** The part of what is left that is shared as the tenant's use was spread lately. */
+    private static final double USE_PART = 0.3;
+
+    /** How long a tenant's use counts in that. */
+    private static final double USE_FADE_MS = 2000;
+
+    private static final long LONGEST_WAIT_MS = 10_000;
     private static final long LEAST_WAIT_MS = 50;
 
+    /** A tenant that was refused nothing for so long is no longer short of quota. */
+    private static final long SHORTAGE_ENDS_MS = 1000;
+
     /** A word comes about so often, or sooner; allowances are renewed no more often. */
     private static final long WORD_MS = 200;
 
@@ -68,21 +79,35 @@
 
         /** What the control plane may have been told to be used here. */
         long told;
+
+        /** Lately used here, and at all sidecars. */
+        double ownRecent;
+
+        double allRecent;
+        long fadedMs;
+
+        /** Since when requests have been refused for want of quota, and the latest of them. */
+        long shortSinceMs;
+
+        long refusedMs = Long.MIN_VALUE / 2;
     }
 
-    private final double slack;
+    private final QuotaTolerance tolerance;
     private final Map<String, Bucket> buckets = new HashMap<>();
     private int sidecars = 1;
 
+    /** How many sidecars' use the latest word covered. */
+    private int reporting;
+
     /** Up to when the control plane's word covers others' use. */
     private long coveredMs = Long.MIN_VALUE;
 
     /** When allowances were last renewed. */
     private long renewedMs = Long.MIN_VALUE / 2;
 
-    /** A ledger for a deployment whose rule lets quotas be passed by {@code slack} tokens. */
-    public QuotaLedger(double slack) {
-        this.slack = slack;
+    /** A ledger for a deployment that bears some use beyond the quotas. */
+    public QuotaLedger(QuotaTolerance tolerance) {
+        this.tolerance = tolerance;
     }
 
     /** How many sidecars there are. */
@@ -103,12 +128,10 @@
     /** Asks for an amount of a tenant's quota: 0 if it is granted, else the time in ms to wait. */
     public long take(long nowMs, Tenant tenant, long amount) {
         Bucket bucket = bucket(nowMs, tenant);
-        double overdraft = tenant.countsTokens() ? OVERDRAFT * slack / sidecars : 0;
-        if (tenant.isLimited() && bucket.level + overdraft <= 0) {
-            double wait = -(bucket.level + overdraft) / tenant.ratePerS() * 1000;
-            return Math.max(LEAST_WAIT_MS, Math.min(LONGEST_WAIT_MS, (long) wait));
+        if (tenant.isLimited() && available(bucket) <= 0) {
+            return waitInShortage(nowMs, bucket);
         }
-        if (tenant.isLimited() && bucket.allowance + overdraft <= 0) {
+        if (tenant.isLimited() && bucket.allowance <= 0) {
             return WORD_MS;
         }
         bucket.level -= amount;
@@ -119,6 +142,29 @@
         return 0;
     }
 
+    /** What may be given out: a bucket may be overdrawn by its headroom. */
+    private double available(Bucket bucket) {
+        return bucket.level + headroom(bucket.tenant);
+    }
+
+    private double headroom(Tenant tenant) {
+        return HEADROOM_PART * tolerance.of(tenant);
+    }
+
+    /**
+     * The time until the bucket fills again, or as long as the shortage has lasted so far: a tenant
+     * that asks for more than its rate all the time finds nothing left a moment later.
+     */
+    private long waitInShortage(long nowMs, Bucket bucket) {
+        if (nowMs - bucket.refusedMs > SHORTAGE_ENDS_MS) {
+            bucket.shortSinceMs = nowMs;
+        }
+        bucket.refusedMs = nowMs;
+        long untilFilledMs = (long) (-available(bucket) / bucket.tenant.ratePerS() * 1000);
+        long wait = Math.max(untilFilledMs, nowMs - bucket.shortSinceMs);
+        return Math.max(LEAST_WAIT_MS, Math.min(LONGEST_WAIT_MS, wait));
+    }
+
     /** What was taken for a request that has not run. */
     public void giveBack(long nowMs, Tenant tenant, long amount) {
         Bucket bucket = bucket(nowMs, tenant);
@@ -135,9 +181,10 @@
                         tenant.name(),
                         name -> {
                             Bucket fresh = new Bucket();
-                            fresh.level = FIRST_LEVEL * tenant.burst() / sidecars;
-                            fresh.allowance = fresh.level;
+                            fresh.allowance = FIRST_LEVEL * tenant.burst() / sidecars;
+                            fresh.level = fresh.allowance - headroom(tenant);
                             fresh.filledMs = nowMs;
+                            fresh.fadedMs = nowMs;
                             return fresh;
                         });
         bucket.tenant = tenant;
@@ -152,7 +199,8 @@
     private void fill(long nowMs, Bucket bucket) {
         double added = share(bucket.tenant) * (nowMs - bucket.filledMs) / 1000;
         add(bucket, added);
-        bucket.allowance = Math.min(bucket.tenant.burst(), bucket.allowance + added);
+        double most = bucket.tenant.burst() + headroom(bucket.tenant);
+        bucket.allowance = Math.min(most, bucket.allowance + added);
         bucket.filledMs = nowMs;
     }
 
@@ -195,6 +243,7 @@
     public void word(
             long nowMs, long upToMs, Map<String, Long> others, int reporting, boolean continuous) {
         long gapMs = gapMs(upToMs);
+        this.reporting = reporting;
         boolean covers = continuous && gapMs <= LONGEST_GAP_MS;
         boolean renews = nowMs - renewedMs >= WORD_MS;
         renewedMs = renews ? nowMs : renewedMs;
@@ -204,14 +253,20 @@
             fill(nowMs, bucket);
             if (covers) {
                 double filled = bucket.tenant.ratePerS() * othersPart * gapMs / 1000;
-                add(bucket, filled - others.getOrDefault(entry.getKey(), 0L));
+                long othersUse = others.getOrDefault(entry.getKey(), 0L);
+                add(bucket, filled - othersUse);
+                countRecent(nowMs, bucket, othersUse);
                 if (renews) {
                     renewAllowance(bucket);
                 }
             } else {
                 // Others may have used all but this sidecar's share of what was left.
-                bucket.level = Math.min(bucket.level, bucket.level / sidecars);
-                bucket.allowance = Math.min(bucket.allowance, bucket.level);
+                double left = Math.min(available(bucket), available(bucket) / sidecars);
+                bucket.level = left - headroom(bucket.tenant);
+                bucket.allowance = Math.min(bucket.allowance, left);
+                bucket.ownRecent = 0;
+                bucket.allRecent = 0;
+                bucket.fadedMs = nowMs;
                 bucket.usedSinceRenewal = 0;
                 double own = share(bucket.tenant) * gapMs / 1000;
                 long ownUse = (long) Math.min(own, Math.max(0, bucket.usedSinceWord));
@@ -222,10 +277,31 @@
         coveredMs = Math.max(coveredMs, upToMs);
     }
 
+    private static void countRecent(long nowMs, Bucket bucket, long othersUse) {
+        double kept = Math.exp(-(nowMs - bucket.fadedMs) / USE_FADE_MS);
+        long ownUse = bucket.usedSinceWord;
+        bucket.ownRecent = Math.max(0, bucket.ownRecent * kept + ownUse);
+        bucket.allRecent = Math.max(0, bucket.allRecent * kept + ownUse + othersUse);
+        bucket.fadedMs = nowMs;
+    }
+
     private void renewAllowance(Bucket bucket) {
-        double left = Math.max(0, bucket.level) * SHARES / sidecars;
+        double overdraft = Math.min(headroom(bucket.tenant), Math.max(0, available(bucket)));
+        double left = overdraft + Math.max(0, bucket.level) * SHARES;
         // What was used since the renewal before may not be in the words to the others yet.
-        bucket.allowance = left - bucket.usedSinceRenewal;
+        bucket.allowance = left * shareOf(bucket) - bucket.usedSinceRenewal;
         bucket.usedSinceRenewal = 0;
     }
+
+    /**
+     * This sidecar's share of what is left: in part evenly, in part as the tenant's use was spread
+     * lately. The shares of all sidecars add up to 1.
+     */
+    private double shareOf(Bucket bucket) {
+        double even = 1.0 / sidecars;
+        // What those use that are not heard of is not known.
+        double heard = Math.min(1, (double) reporting / sidecars);
+        double used = bucket.allRecent > 0 ? heard * bucket.ownRecent / bucket.allRecent : even;
+        return even + USE_PART * (Math.min(1, used) - even);
+    }
 }
--- a/system/src/main/java/poppynotch/router/FleetState.java
+++ b/system/src/main/java/poppynotch/router/FleetState.java
@@ -10,8 +10,10 @@
 import poppynotch.config.Route;
 import poppynotch.pool.HeldCount;
 import poppynotch.pool.QuotaLedger;
+import poppynotch.pool.QuotaTolerance;
 import poppynotch.pool.RetryBudget;
 import poppynotch.pool.ServerPool;
+import poppynotch.settings.Bounds;
 import poppynotch.settings.NodeSettings;
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.ServerState;
@@ -37,7 +39,12 @@
 
     FleetState(NodeSettings settings) {
         this.settings = settings;
-        quotas = new QuotaLedger(settings.bounds().quotaSlackTokens());
+        quotas = new QuotaLedger(tolerance(settings.bounds()));
+    }
+
+    private static QuotaTolerance tolerance(Bounds bounds) {
+        return new QuotaTolerance(
+                bounds.quotaOver(), bounds.quotaSlackTokens(), bounds.quotaWindowMs());
     }
 
     /** The configuration in force, or null before the first. */
--- a/system/src/main/java/poppynotch/settings/Bounds.java
+++ b/system/src/main/java/poppynotch/settings/Bounds.java
@@ -5,7 +5,8 @@
  *
  * @param retryBudgetRatio repeats allowed for each request, over all edges
  * @param retryBudgetSlack repeats allowed besides, over all edges, in each window
- * @param quotaSlackTokens tokens that all edges together may pass a quota by
+ * @param quotaOver part of what a quota allows in a window that all edges together may pass it by
+ * @param quotaSlackTokens tokens that they may pass it by besides
  */
 public record Bounds(
         long contactMs,
@@ -16,5 +17,6 @@
         double retryBudgetRatio,
         double retryBudgetSlack,
         long budgetWindowMs,
+        double quotaOver,
         double quotaSlackTokens,
         long quotaWindowMs) {}
--- a/system/src/main/java/poppynotch/settings/NodeSettings.java
+++ b/system/src/main/java/poppynotch/settings/NodeSettings.java
@@ -106,6 +106,7 @@
                 number(config, "Bounds.RetryBudgetRatio", 0.2),
                 number(config, "Bounds.BudgetSlack", 10),
                 (long) (number(config, "Bounds.BudgetWindowS", 10) * MS),
+                number(config, "Bounds.QuotaOver", 0),
                 number(config, "Bounds.QuotaSlack", 0),
                 (long) (number(config, "Bounds.QuotaWindowS", 8) * MS));
     }
