--- a/system/src/main/java/poppynotch/app/SmallBuffers.java
+++ b/system/src/main/java/poppynotch/app/SmallBuffers.java
@@ -17,6 +17,8 @@
         // Without a hardware address the library would look for one and warn.
         set("io.netty.machineId", "00:00:00:00:00:00:00:01");
         set("io.netty.leakDetection.level", "disabled");
+        // Its events would load the flight recorder, which takes longer than the rest of the start.
+        set("io.netty.jfr.enabled", "false");
     }
 
     private static void set(String property, String value) {
