Let a tenant's requests through wherever they come in while much of its quota is left

Change: while all edges are heard of, an edge may give out up to 0.15 of what is left beyond three times the tenant's late use in the 600 ms until it is told; a start or a gap counts as use of the whole rate. A debug line says why a request was refused.

--- a/system/src/main/java/poppynotch/pool/QuotaLedger.java
+++ b/system/src/main/java/poppynotch/pool/QuotaLedger.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import poppynotch.config.Tenant;
@@ -16,8 +17,9 @@
  * shares only for the time that the control plane's word covers, together with what the others have
  * used by then. So all sidecars that hear nothing give out the rate once, not once each; what may
  * be passed is what others use while their word is under way. Between two words a sidecar gives out
- * a share of what is left, which follows where the tenant's requests come in. When no word has come
- * for a while, only an even share of what was left is given out.
+ * a share of what is left, which follows where the tenant's requests come in, or more while the
+ * tenant uses much less than is left. When no word has come for a while, only an even share of what
+ * was left is given out.
  */
 public final class QuotaLedger {
 
@@ -42,6 +44,20 @@
     /** The part of what is left that is shared as the tenant's use was spread lately. */
     private static final double USE_PART = 0.3;
 
+    /**
+     * What others may use before the next words tell of it: so many times what they did lately, for
+     * so long. What is left beyond that is nobody's share.
+     */
+    private static final double GROWTH = 3;
+
+    private static final double UNTOLD_MS = 600;
+
+    /** A tenant is taken to use at least this part of its rate. */
+    private static final double LEAST_USE = 0.4;
+
+    /** One sidecar has at most this part of what is left, if it has no larger share. */
+    private static final double MOST_SURPLUS = 0.15;
+
     /** How long a tenant's use counts in that. */
     private static final double USE_FADE_MS = 2000;
 
@@ -142,6 +158,22 @@
         return 0;
     }
 
+    /** Why requests of a tenant are refused, or are not, for logs. */
+    public String explain(Tenant tenant) {
+        Bucket bucket = buckets.get(tenant.name());
+        return bucket == null
+                ? "nothing is known of " + tenant.name()
+                : String.format(
+                        Locale.ROOT,
+                        "%s: left %.0f of %.0f, here %.0f at a share of %.3f among %d",
+                        tenant.name(),
+                        available(bucket),
+                        tenant.burst() + headroom(tenant),
+                        bucket.allowance,
+                        shareOf(bucket),
+                        sidecars);
+    }
+
     /** What may be given out: a bucket may be overdrawn by its headroom. */
     private double available(Bucket bucket) {
         return bucket.level + headroom(bucket.tenant);
@@ -184,7 +216,8 @@
                             fresh.allowance = FIRST_LEVEL * tenant.burst() / sidecars;
                             fresh.level = fresh.allowance - headroom(tenant);
                             fresh.filledMs = nowMs;
-                            fresh.fadedMs = nowMs;
+                            fresh.tenant = tenant;
+                            assumeFullUse(nowMs, fresh);
                             return fresh;
                         });
         bucket.tenant = tenant;
@@ -264,9 +297,7 @@
                 double left = Math.min(available(bucket), available(bucket) / sidecars);
                 bucket.level = left - headroom(bucket.tenant);
                 bucket.allowance = Math.min(bucket.allowance, left);
-                bucket.ownRecent = 0;
-                bucket.allRecent = 0;
-                bucket.fadedMs = nowMs;
+                assumeFullUse(nowMs, bucket);
                 bucket.usedSinceRenewal = 0;
                 double own = share(bucket.tenant) * gapMs / 1000;
                 long ownUse = (long) Math.min(own, Math.max(0, bucket.usedSinceWord));
@@ -277,6 +308,13 @@
         coveredMs = Math.max(coveredMs, upToMs);
     }
 
+    /** Where nothing is known of it, a tenant is taken to have used its rate elsewhere. */
+    private void assumeFullUse(long nowMs, Bucket bucket) {
+        bucket.allRecent = bucket.tenant.ratePerS() * USE_FADE_MS / 1000;
+        bucket.ownRecent = 0;
+        bucket.fadedMs = nowMs;
+    }
+
     private static void countRecent(long nowMs, Bucket bucket, long othersUse) {
         double kept = Math.exp(-(nowMs - bucket.fadedMs) / USE_FADE_MS);
         long ownUse = bucket.usedSinceWord;
@@ -289,10 +327,25 @@
         double overdraft = Math.min(headroom(bucket.tenant), Math.max(0, available(bucket)));
         double left = overdraft + Math.max(0, bucket.level) * SHARES;
         // What was used since the renewal before may not be in the words to the others yet.
-        bucket.allowance = left * shareOf(bucket) - bucket.usedSinceRenewal;
+        bucket.allowance =
+                Math.max(left * shareOf(bucket), surplus(bucket)) - bucket.usedSinceRenewal;
         bucket.usedSinceRenewal = 0;
     }
 
+    /**
+     * What any sidecar may give out as all others are heard of, and use less than would empty the
+     * bucket before that is told.
+     */
+    private double surplus(Bucket bucket) {
+        if (reporting < sidecars) {
+            return 0;
+        }
+        double usePerMs = bucket.allRecent / USE_FADE_MS;
+        double leastPerMs = LEAST_USE * bucket.tenant.ratePerS() / 1000;
+        double untold = GROWTH * UNTOLD_MS * Math.max(usePerMs, leastPerMs);
+        return Math.min(available(bucket) - untold, MOST_SURPLUS * available(bucket));
+    }
+
     /**
      * This sidecar's share of what is left: in part evenly, in part as the tenant's use was spread
      * lately. The shares of all sidecars add up to 1.
--- a/system/src/main/java/poppynotch/router/ClientConnection.java
+++ b/system/src/main/java/poppynotch/router/ClientConnection.java
@@ -27,6 +27,8 @@
 import java.util.Deque;
 import java.util.Locale;
 import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import poppynotch.config.ClientLimits;
 import poppynotch.config.FleetConfig;
 import poppynotch.config.Route;
@@ -35,6 +37,8 @@
 /** A client's connection: reads its requests, one after the other, and writes the answers. */
 final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientAnswer {
 
+    private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
+
     private static final String BEARER = "Bearer ";
     private static final double MS_PER_S = 1000;
 
@@ -213,6 +217,11 @@
         long amount = tenant == null ? 0 : amount(request.headers(), tenant);
         long wait = tenant == null ? 0 : edge.state().quotas().take(edge.now(), tenant, amount);
         if (wait > 0) {
+            LOG.debug(
+                    "refuses {} tokens for {} ms, {}",
+                    amount,
+                    wait,
+                    edge.state().quotas().explain(tenant));
             reject(request, Reply.OVER_QUOTA, wait);
             return;
         }
