Prefer kept connections and the own zone between servers that answer alike; split the pool by concern

A short prompt can go to any server, and went where the expected time was a few ms less. What ranks servers is split from the pool (ModelRanking, PlainRanking, Placement), and a pooled server into its load estimate and outlier ejection, without other changes.

--- a/system/src/main/java/poppynotch/pool/ServerPool.java
+++ b/system/src/main/java/poppynotch/pool/ServerPool.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import poppynotch.config.Backend;
 import poppynotch.wire.Message;
 import poppynotch.wire.ServerRecord;
@@ -32,59 +34,17 @@
 
     private static final int LEAST_SLOTS = 4;
 
-    /**
-     * What a call that runs, or waits, adds to the time that a new one takes to its first answer,
-     * in ms.
-     */
-    private static final double MS_PER_RUNNING = 2;
-
-    private static final double MS_PER_WAITING = 60;
-
-    /** What it costs all others, in ms, that a token is read anew which another server keeps. */
-    private static final double MS_PER_TOKEN_AGAIN = 0.02;
-
-    /**
-     * The part of the shared tokens that the home of a prompt is taken to keep though it was not
-     * seen: little where every sidecar hears of all prompts.
-     */
-    private static final double HOME_TRUST_HEARD = 0.2;
-
-    private static final double HOME_TRUST_UNHEARD = 0.8;
-
-    /** A waiting call at a server without a model is as bad as so many rounds of ranks. */
-    private static final double ROUNDS_PER_WAITING = 2;
-
-    /** Another zone costs a call without a model so many rounds of ranks. */
-    private static final double ROUNDS_ACROSS_ZONES = 0.5;
-
-    /** What a server that fails all its calls is ranked behind others by. */
-    private static final double ROUNDS_PER_FAILURE = 8;
-
-    private static final double MS_PER_FAILURE = 1500;
-
-    /** Where a rank decides between equal costs, in ms a round. */
-    private static final double MS_PER_ROUND = 1;
-
-    /** A server whose memory own calls fill comes after all others. */
-    private static final double FULL_MS = 60_000;
-
-    /**
-     * A server that keeps more than this part of its memory busy with own calls is left for later.
-     */
-    private static final double MEMORY_SHARE = 0.9;
-
     private final String zone;
     private Backend backend;
     private final Map<String, PooledServer> servers = new HashMap<>();
-    private int edges = 1;
-    private int number;
+    private Placement placement;
     private int inUse;
-    private double homeTrust = HOME_TRUST_HEARD;
 
     /** An empty pool of a sidecar in {@code zone}. */
     public ServerPool(Backend backend, String zone) {
         this.backend = backend;
         this.zone = zone;
+        placement = new Placement(zone, 1, 0, 1);
     }
 
     /** The service as a newer configuration describes it. */
@@ -95,12 +55,10 @@
     /**
      * How many sidecars there are, and which of them this one is.
      *
-     * @param hearsAll whether this one hears of every prompt that others send
+     * @param heardPart the part of the others' prompts that this one hears of, 0 to 1
      */
-    public void place(int sidecars, int ownNumber, boolean hearsAll) {
-        edges = Math.max(1, sidecars);
-        number = ownNumber;
-        homeTrust = hearsAll ? HOME_TRUST_HEARD : HOME_TRUST_UNHEARD;
+    public void place(int sidecars, int ownNumber, double heardPart) {
+        placement = new Placement(zone, Math.max(1, sidecars), ownNumber, heardPart);
     }
 
     /**
@@ -126,8 +84,18 @@
         return !servers.isEmpty();
     }
 
-    /** Takes the lowest-ranked free slot for a call, but none on the excluded servers. */
+    /** Takes the lowest-ranked free slot for a call where no connections are kept. */
     public Acquired acquire(long nowMs, CallProfile call, Set<String> excluded) {
+        return acquire(nowMs, call, excluded, id -> false);
+    }
+
+    /**
+     * Takes the lowest-ranked free slot for a call, but none on the excluded servers.
+     *
+     * @param connected whether an idle connection to a server, named by its id, is kept
+     */
+    public Acquired acquire(
+            long nowMs, CallProfile call, Set<String> excluded, Predicate<String> connected) {
         if (inUse >= CEILING) {
             return new Acquired.Full();
         }
@@ -136,7 +104,7 @@
         for (PooledServer server : servers.values()) {
             if (!excluded.contains(server.id())) {
                 any = true;
-                if (!server.isPaused(nowMs) && server.busy() < slotsOn(server)) {
+                if (!server.ejection().isPaused(nowMs) && server.busy() < slotsOn(server)) {
                     free.add(server);
                 }
             }
@@ -144,28 +112,27 @@
         if (free.isEmpty()) {
             return any ? new Acquired.Full() : new Acquired.Nobody();
         }
-        PooledServer best = lowestRanked(nowMs, call, free);
-        Slot slot = new Slot(nowMs, best, call, freshTokens(call, best, false));
+        PooledServer best = lowestRanked(free, ranking(nowMs, call, free, connected));
+        Slot slot = new Slot(nowMs, best, call, ModelRanking.freshTokens(call, best));
         best.take(nowMs, slot);
         inUse++;
         return new Acquired.Granted(slot);
     }
 
-    private PooledServer lowestRanked(long nowMs, CallProfile call, List<PooledServer> free) {
-        PooledServer home = home(call);
-        int mostKept = 0;
-        if (backend.hasEngine()) {
-            for (PooledServer server : free) {
-                mostKept = Math.max(mostKept, server.cache().keptTokens(call.parts()));
-            }
-        }
+    private ToDoubleFunction<PooledServer> ranking(
+            long nowMs, CallProfile call, List<PooledServer> free, Predicate<String> connected) {
+        return backend.hasEngine()
+                ? new ModelRanking(
+                        nowMs, placement, backend, call, servers.values(), free, connected)
+                : PlainRanking.of(nowMs, placement, connected);
+    }
+
+    private static PooledServer lowestRanked(
+            List<PooledServer> free, ToDoubleFunction<PooledServer> ranking) {
         PooledServer best = null;
         double bestRank = Double.MAX_VALUE;
         for (PooledServer server : free) {
-            double rank =
-                    backend.hasEngine()
-                            ? modelRank(nowMs, call, server, server == home, mostKept)
-                            : plainRank(nowMs, server);
+            double rank = ranking.applyAsDouble(server);
             if (best == null
                     || rank < bestRank
                     || rank == bestRank && server.hash() < best.hash()) {
@@ -177,74 +144,14 @@
     }
 
     private int slotsOn(PooledServer server) {
-        if (server.isOnTrial()) {
+        if (server.ejection().isOnTrial()) {
             return 1;
         }
         int slots = Math.max(1, server.record().slots());
-        int share = (int) Math.ceil(SHARE_FACTOR * slots / edges);
+        int share = (int) Math.ceil(SHARE_FACTOR * slots / placement.sidecars());
         return Math.min(slots, Math.max(LEAST_SLOTS, share));
     }
 
-    /**
-     * The server on which all sidecars look first for what such calls share: the same one for each.
-     */
-    private PooledServer home(CallProfile call) {
-        if (call.parts().isEmpty()) {
-            return null;
-        }
-        PooledServer best = null;
-        long bestScore = Long.MIN_VALUE;
-        for (PooledServer server : servers.values()) {
-            long score = mix(call.affinityKey() ^ server.hash() * 0x9E3779B97F4A7C15L);
-            if (best == null || score > bestScore) {
-                best = server;
-                bestScore = score;
-            }
-        }
-        return best;
-    }
-
-    private static long mix(long value) {
-        long mixed = (value ^ value >>> 30) * 0xBF58476D1CE4E5B9L;
-        mixed = (mixed ^ mixed >>> 27) * 0x94D049BB133111EBL;
-        return mixed ^ mixed >>> 31;
-    }
-
-    /** The design's rank of the next slot on a server. */
-    private double slotRank(long nowMs, PooledServer server) {
-        return server.lowestFree(nowMs) * (double) edges + (number + server.hash()) % edges;
-    }
-
-    private double plainRank(long nowMs, PooledServer server) {
-        double across = server.record().zone().equals(zone) ? 0 : ROUNDS_ACROSS_ZONES * edges;
-        return slotRank(nowMs, server)
-                + across
-                + server.waiting(nowMs) * ROUNDS_PER_WAITING * edges
-                + server.failureShare(nowMs) * ROUNDS_PER_FAILURE * edges;
-    }
-
-    private double modelRank(
-            long nowMs, CallProfile call, PooledServer server, boolean isHome, int mostKept) {
-        double full = server.heldTokens() > MEMORY_SHARE * backend.kvTokens() ? FULL_MS : 0;
-        int readAgain = Math.max(0, mostKept - server.cache().keptTokens(call.parts()));
-        return server.readingMs(nowMs, freshTokens(call, server, isHome))
-                + MS_PER_TOKEN_AGAIN * readAgain
-                + MS_PER_RUNNING * (server.busy() + server.othersRunning(nowMs))
-                + MS_PER_WAITING * server.waiting(nowMs)
-                + slotRank(nowMs, server) / edges * MS_PER_ROUND
-                + server.failureShare(nowMs) * MS_PER_FAILURE
-                + full;
-    }
-
-    private int freshTokens(CallProfile call, PooledServer server, boolean isHome) {
-        int kept = server.cache().keptTokens(call.parts());
-        if (isHome && call.parts().size() > 1) {
-            int own = call.parts().get(call.parts().size() - 1).tokens();
-            kept = Math.max(kept, (int) (homeTrust * (call.promptTokens() - own)));
-        }
-        return Math.max(0, call.promptTokens() - kept);
-    }
-
     /** Another sidecar sends a prompt to a server. */
     public void promptSentElsewhere(long nowMs, Message.PromptSent sent) {
         PooledServer server = servers.get(sent.serverId());
@@ -255,7 +162,7 @@
 
     /** The first part of the answer has come. */
     public void answered(long nowMs, Slot slot) {
-        slot.server().read(slot, nowMs);
+        slot.server().firstAnswer(nowMs, slot);
     }
 
     /** More of an answer has come. */
@@ -265,7 +172,7 @@
 
     /** A server has told its load. */
     public void loadReported(long nowMs, Slot slot, int running, int waiting) {
-        slot.server().reported(nowMs, running, waiting);
+        slot.server().load().reported(nowMs, running, waiting, slot.server().busy());
     }
 
     /**
@@ -277,18 +184,18 @@
 
     /** Tokens that the server of a slot has yet to read for this process. */
     public long backlogTokens(Slot slot) {
-        return slot.server().backlogTokens();
+        return slot.server().load().backlogTokens();
     }
 
     /** Keeps new calls away from the server of a slot for a while. */
     public void suspect(long nowMs, Slot slot) {
-        slot.server().pause(nowMs);
+        slot.server().ejection().pause(nowMs);
     }
 
     /** The call has left its slot. */
     public void release(long nowMs, Slot slot, SlotEnd end) {
         if (slot.release()) {
-            slot.server().free(slot, end, nowMs);
+            slot.server().free(nowMs, slot, end);
             inUse--;
         }
     }
--- a/system/src/main/java/poppynotch/pool/Slot.java
+++ b/system/src/main/java/poppynotch/pool/Slot.java
@@ -28,8 +28,8 @@
         this.server = server;
         number = server.lowestFree(nowMs);
         takenMs = nowMs;
-        expectedMs = server.readingMs(nowMs, freshTokens);
-        rateThen = server.tokensPerMs();
+        expectedMs = server.load().readingMs(nowMs, freshTokens);
+        rateThen = server.load().tokensPerMs();
         this.call = call;
         this.freshTokens = freshTokens;
     }
@@ -67,7 +67,8 @@
         return takenMs;
     }
 
-    double expectedMs() {
+    /** Time in ms after which the first answer was expected when it was taken. */
+    public double expectedMs() {
         return expectedMs;
     }
 
--- a/system/src/main/java/poppynotch/router/Exchange.java
+++ b/system/src/main/java/poppynotch/router/Exchange.java
@@ -124,7 +124,9 @@
         long now = edge.now();
         ServerPool pool = pool();
         Acquired acquired =
-                pool == null ? new Acquired.Nobody() : pool.acquire(now, profile, tried);
+                pool == null
+                        ? new Acquired.Nobody()
+                        : pool.acquire(now, profile, tried, edge.connections()::isKept);
         if (!(acquired instanceof Acquired.Granted granted)) {
             nowhere();
             return;
@@ -326,6 +328,7 @@
                 return;
             }
             pool.answered(now, slot);
+            explainChoice(now);
             if (success
                     && (!response.headers().contains(Headers.SEAL)
                             || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
@@ -342,6 +345,20 @@
             }
         }
 
+        private void explainChoice(long now) {
+            if (LOG.isDebugEnabled()) {
+                LOG.debug(
+                        "{} of {} at server {}: first answer after {} ms, {} were expected; {} of {} tokens new",
+                        request.headers().get(Headers.ATTEMPT_ID),
+                        route.name(),
+                        slot.serverId(),
+                        now - request.arrivedMs(),
+                        (long) slot.expectedMs(),
+                        slot.freshTokens(),
+                        profile.promptTokens());
+            }
+        }
+
         private void breaks() {
             sending.cancel();
             mayHaveRun = true;
--- a/system/src/main/java/poppynotch/router/FleetState.java
+++ b/system/src/main/java/poppynotch/router/FleetState.java
@@ -67,7 +67,7 @@
             ServerPool pool = pools.get(backend.name());
             if (pool == null) {
                 pool = new ServerPool(backend, settings.zone());
-                pool.place(edges, number, EdgePeers.hearAll(edges));
+                pool.place(edges, number, EdgePeers.hearAll(edges) ? 1 : 0);
                 pools.put(backend.name(), pool);
             }
             pool.configure(backend);
@@ -106,7 +106,7 @@
         if (all != edges || ownNumber != number) {
             edges = all;
             number = ownNumber;
-            pools.values().forEach(pool -> pool.place(all, ownNumber, EdgePeers.hearAll(all)));
+            pools.values().forEach(pool -> pool.place(all, ownNumber, EdgePeers.hearAll(all) ? 1 : 0));
         }
     }
 
--- a/system/src/main/java/poppynotch/router/UpstreamConnections.java
+++ b/system/src/main/java/poppynotch/router/UpstreamConnections.java
@@ -36,9 +36,10 @@
     private static final int CONNECT_MS = 400;
 
     /**
-     * An idle connection is used only for a part of the time after which the server may close it.
+     * An idle connection is used only for a part of the time after which the server may close it:
+     * what is sent as the server closes is reset, and may have run.
      */
-    private static final double IDLE_PART = 0.6;
+    private static final double IDLE_PART = 0.85;
 
     private static final long DEFAULT_IDLE_MS = 4000;
 
@@ -86,16 +87,25 @@
         return connection;
     }
 
+    /** Whether an idle connection to a server is kept that the next request can have. */
+    boolean isKept(String serverId) {
+        Deque<Connection> kept = idle.get(serverId);
+        return kept != null && !kept.isEmpty() && isUsable(kept.peekLast(), clock.getAsLong());
+    }
+
+    private boolean isUsable(Connection connection, long now) {
+        return now - connection.idleSinceMs <= idleTrust.trustedMs(now)
+                && now < connection.idleUntilMs
+                && connection.channel.isActive()
+                && !connection.decoder.holdsMore();
+    }
+
     private Connection takeIdle(String serverId) {
         Deque<Connection> kept = idle.get(serverId);
         long now = clock.getAsLong();
         while (kept != null && !kept.isEmpty()) {
             Connection last = kept.pollLast();
-            boolean trusted = now - last.idleSinceMs <= idleTrust.trustedMs(now);
-            if (trusted
-                    && now < last.idleUntilMs
-                    && last.channel.isActive()
-                    && !last.decoder.holdsMore()) {
+            if (isUsable(last, now)) {
                 return last;
             }
             last.channel.close();
--- a/system/src/test/java/poppynotch/pool/ServerPoolTest.java
+++ b/system/src/test/java/poppynotch/pool/ServerPoolTest.java
@@ -21,7 +21,7 @@
     private static ServerPool pool(
             Backend backend, int sidecars, int number, int servers, int slots) {
         ServerPool pool = new ServerPool(backend, "z");
-        pool.place(sidecars, number, true);
+        pool.place(sidecars, number, 1);
         List<ServerRecord> ready = new ArrayList<>();
         for (int i = 0; i < servers; i++) {
             ready.add(
