Tell as many edges of a prompt as a bounded rate of datagrams allows

Change: 150 datagrams a second and edge, at least 12 edges each time, in the ring's order; the trust in a home follows the part of the others' prompts that is heard of.

--- a/system/src/main/java/poppynotch/router/EdgeNode.java
+++ b/system/src/main/java/poppynotch/router/EdgeNode.java
@@ -268,7 +268,7 @@
 
     @Override
     public void place(int edges, int number) {
-        state.place(now(), edges, number);
+        state.place(now(), edges, number, peers.heardPart(now()));
     }
 
     @Override
@@ -297,6 +297,7 @@
     public void announce(String backend, Slot slot) {
         if (slot.freshTokens() >= TOLD_TOKENS) {
             peers.send(
+                    now(),
                     new Message.PromptSent(
                             slot.serverId(), backend, slot.freshTokens(), slot.parts()));
         }
--- a/system/src/main/java/poppynotch/router/EdgePeers.java
+++ b/system/src/main/java/poppynotch/router/EdgePeers.java
@@ -27,19 +27,13 @@
     /** Datagrams longer than this are not sent: networks would cut them in pieces. */
     private static final int MOST_BYTES = 1400;
 
-    /** Up to so many other edges are all told. */
-    private static final int MOST_PEERS = 16;
-
-    /**
-     * Of more, those that follow in a ring of addresses: the cost of a prompt must not grow with
-     * the fleet.
-     */
-    private static final int RING_PEERS = 12;
-
     private final HostPort own;
     private final Consumer<Message.PromptSent> receiver;
+    private final TellingRate rate = new TellingRate();
     private Channel channel;
-    private List<InetSocketAddress> peers = List.of();
+
+    /** All other edges, in the order of their addresses from this one on. */
+    private List<InetSocketAddress> ring = List.of();
 
     EdgePeers(HostPort own, Consumer<Message.PromptSent> receiver) {
         this.own = own;
@@ -83,39 +77,42 @@
 
     /** The addresses of all edges, this one included. */
     void know(List<String> addresses) {
-        peers =
-                told(own.toString(), addresses).stream()
+        ring =
+                ring(own.toString(), addresses).stream()
                         .map(address -> HostPort.parse(address).socketAddress())
                         .toList();
     }
 
-    /** Whether an edge hears of all prompts in a fleet of that size. */
-    static boolean hearAll(int edges) {
-        return edges - 1 <= MOST_PEERS;
+    /**
+     * The other edges in the order of their addresses, those that follow first: where each tells
+     * the first few of its ring, all hear of equally many.
+     */
+    static List<String> ring(String self, List<String> addresses) {
+        List<String> others =
+                addresses.stream().filter(address -> !address.equals(self)).sorted().toList();
+        int next = (int) others.stream().filter(address -> address.compareTo(self) < 0).count();
+        List<String> ring = new ArrayList<>(others.subList(next, others.size()));
+        ring.addAll(others.subList(0, next));
+        return ring;
     }
 
-    /** The edges that one edge tells. */
-    static List<String> told(String self, List<String> addresses) {
-        List<String> ring =
-                addresses.stream().filter(address -> !address.equals(self)).sorted().toList();
-        if (ring.size() <= MOST_PEERS) {
-            return ring;
-        }
-        int next = (int) ring.stream().filter(address -> address.compareTo(self) < 0).count();
-        List<String> told = new ArrayList<>(RING_PEERS);
-        for (int i = 0; i < RING_PEERS; i++) {
-            told.add(ring.get((next + i) % ring.size()));
-        }
-        return told;
+    /**
+     * The part of the others' prompts that this edge hears of, if they tell as many as it does; 1
+     * where there are no others.
+     */
+    double heardPart(long nowMs) {
+        return ring.isEmpty() ? 1 : rate.peers(nowMs, ring.size()) / (double) ring.size();
     }
 
-    void send(Message.PromptSent sent) {
+    void send(long nowMs, Message.PromptSent sent) {
         byte[] record = MessageCodec.encode(sent);
-        if (record.length <= MOST_BYTES) {
-            for (InetSocketAddress peer : peers) {
-                channel.write(new DatagramPacket(Unpooled.wrappedBuffer(record), peer));
-            }
-            channel.flush();
+        if (record.length > MOST_BYTES) {
+            return;
+        }
+        rate.count(nowMs);
+        for (InetSocketAddress peer : ring.subList(0, rate.peers(nowMs, ring.size()))) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(record), peer));
         }
+        channel.flush();
     }
 }
--- a/system/src/main/java/poppynotch/router/FleetState.java
+++ b/system/src/main/java/poppynotch/router/FleetState.java
@@ -33,6 +33,7 @@
     private Collection<ServerRecord> servers = List.of();
     private int edges = 1;
     private int number;
+    private double heardPart = 1;
 
     /** How many edges share the budgets and the quotas. */
     private final HeldCount sharers = new HeldCount();
@@ -67,7 +68,7 @@
             ServerPool pool = pools.get(backend.name());
             if (pool == null) {
                 pool = new ServerPool(backend, settings.zone());
-                pool.place(edges, number, EdgePeers.hearAll(edges) ? 1 : 0);
+                pool.place(edges, number, heardPart);
                 pools.put(backend.name(), pool);
             }
             pool.configure(backend);
@@ -95,19 +96,22 @@
         pools.forEach((name, pool) -> pool.update(ready.getOrDefault(name, List.of())));
     }
 
-    /** How many edges there are, and which of them this one is. */
-    void place(long nowMs, int all, int ownNumber) {
+    /**
+     * How many edges there are, and which of them this one is.
+     *
+     * @param heard the part of the others' prompts that it hears of
+     */
+    void place(long nowMs, int all, int ownNumber, double heard) {
         int before = sharers.count();
         int sharing = sharers.told(nowMs, all);
         if (sharing != before) {
             budgets.values().forEach(budget -> budget.place(sharing, false));
             quotas.place(sharing);
         }
-        if (all != edges || ownNumber != number) {
-            edges = all;
-            number = ownNumber;
-            pools.values().forEach(pool -> pool.place(all, ownNumber, EdgePeers.hearAll(all) ? 1 : 0));
-        }
+        edges = all;
+        number = ownNumber;
+        heardPart = heard;
+        pools.values().forEach(pool -> pool.place(all, ownNumber, heard));
     }
 
     ServerPool pool(String backend) {
--- a/system/src/test/java/poppynotch/router/EdgePeersTest.java
+++ b/system/src/test/java/poppynotch/router/EdgePeersTest.java
@@ -19,8 +19,11 @@
     }
 
     @Test
-    void inASmallFleetAllOthersAreTold() {
-        assertThat(EdgePeers.told("10.0.0.3:1", edges(6))).hasSize(5);
+    void theRingBeginsBehindOneself() {
+        assertThat(EdgePeers.ring("10.0.0.3:1", edges(6)))
+                .containsExactly(
+                        "10.0.0.4:1", "10.0.0.5:1", "10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1")
+                .inOrder();
     }
 
     @Test
@@ -28,11 +31,38 @@
         List<String> all = edges(380);
         Map<String, Integer> heard = new HashMap<>();
         for (String edge : all) {
-            List<String> told = EdgePeers.told(edge, all);
-            assertThat(told).hasSize(12);
+            List<String> told = EdgePeers.ring(edge, all).subList(0, 12);
             assertThat(told).doesNotContain(edge);
             told.forEach(other -> heard.merge(other, 1, Integer::sum));
         }
         assertThat(heard.values().stream().distinct().toList()).containsExactly(12);
     }
+
+    private static TellingRate telling(int perS) {
+        TellingRate rate = new TellingRate();
+        for (int i = 0; i < 20 * perS; i++) {
+            rate.count(i * 1000L / perS);
+        }
+        return rate;
+    }
+
+    @Test
+    void inASmallFleetAllOthersAreTold() {
+        assertThat(telling(5).peers(20_000, 16)).isEqualTo(16);
+    }
+
+    /** The more prompts an edge sends, the fewer others hear of each: at most so many datagrams. */
+    @Test
+    void theTellingsOfAnEdgeAreBounded() {
+        for (int perS : new int[] {2, 4, 8}) {
+            int peers = telling(perS).peers(20_000, 379);
+            assertThat((double) peers * perS).isWithin(25).of(150);
+        }
+        assertThat(telling(100).peers(20_000, 379)).isEqualTo(12);
+    }
+
+    @Test
+    void anEdgeWithLittleToTellTellsAll() {
+        assertThat(new TellingRate().peers(0, 379)).isEqualTo(379);
+    }
 }
--- a/system/src/test/java/poppynotch/router/ExchangeHarness.java
+++ b/system/src/test/java/poppynotch/router/ExchangeHarness.java
@@ -145,7 +145,7 @@
         edge.loop()
                 .submit(
                         () -> {
-                            edge.state().place(0, 8, 0);
+                            edge.state().place(0, 8, 0, 1);
                             edge.state().configure(0, ((ConfigResult.Valid) config).config());
                             edge.state().servers(records);
                         })
