--- a/system/src/main/java/poppynotch/pool/QuotaLedger.java
+++ b/system/src/main/java/poppynotch/pool/QuotaLedger.java
@@ -28,7 +28,7 @@
      * within its quota is not refused for what the sidecars do not know of each other. The rest is
      * for what they grant at the same moment. Bound by {@code QuotaSchedulesTest}.
      */
-    private static final double HEADROOM_PART = 0.07;
+    private static final double HEADROOM_PART = 0.09;
 
     /**
      * The part of a burst that all sidecars together take to be left when they have just started.
@@ -36,13 +36,10 @@
     private static final double FIRST_LEVEL = 0.5;
 
     /**
-     * Shares of what is left that a sidecar may give out until the next word: more than one, as a
-     * tenant's requests are not spread as they were before.
+     * Even shares of what is left that a sidecar may give out until the next word: more than one,
+     * as a tenant's requests are not spread evenly.
      */
-    static final double SHARES = 1.25;
-
-    /** The part of what is left that is shared as the tenant's use was spread lately. */
-    private static final double USE_PART = 0.3;
+    static final double SHARES = 2;
 
     /**
      * What others may use before the next words tell of it: so many times what they did lately, for
@@ -58,7 +55,7 @@
     /** One sidecar has at most this part of what is left, if it has no larger share. */
     static final double MOST_SURPLUS = 0.4;
 
-    /** How long a tenant's use counts in that. */
+    /** How long a tenant's use counts in what it did lately. */
     private static final double USE_FADE_MS = 2000;
 
     private static final long LONGEST_WAIT_MS = 10_000;
@@ -96,10 +93,9 @@
         /** What the control plane may have been told to be used here. */
         long told;
 
-        /** Lately used here, and at all sidecars. */
-        double ownRecent;
-
+        /** Lately used at all sidecars. */
         double allRecent;
+
         long fadedMs;
 
         /** Since when requests have been refused for want of quota, and the latest of them. */
@@ -165,12 +161,12 @@
                 ? "nothing is known of " + tenant.name()
                 : String.format(
                         Locale.ROOT,
-                        "%s: left %.0f of %.0f, here %.0f at a share of %.3f among %d",
+                        "%s: left %.0f of %.0f, here %.0f, %d of %d edges heard of",
                         tenant.name(),
                         available(bucket),
                         tenant.burst() + headroom(tenant),
                         bucket.allowance,
-                        shareOf(bucket),
+                        reporting,
                         sidecars);
     }
 
@@ -308,17 +304,15 @@
         coveredMs = Math.max(coveredMs, upToMs);
     }
 
-    /** Where nothing is known of it, a tenant is taken to have used its rate elsewhere. */
+    /** Where nothing is known of it, a tenant is taken to have used its rate. */
     private void assumeFullUse(long nowMs, Bucket bucket) {
         bucket.allRecent = bucket.tenant.ratePerS() * USE_FADE_MS / 1000;
-        bucket.ownRecent = 0;
         bucket.fadedMs = nowMs;
     }
 
     private static void countRecent(long nowMs, Bucket bucket, long othersUse) {
         double kept = Math.exp(-(nowMs - bucket.fadedMs) / USE_FADE_MS);
         long ownUse = bucket.usedSinceWord;
-        bucket.ownRecent = Math.max(0, bucket.ownRecent * kept + ownUse);
         bucket.allRecent = Math.max(0, bucket.allRecent * kept + ownUse + othersUse);
         bucket.fadedMs = nowMs;
     }
@@ -327,8 +321,7 @@
         double overdraft = Math.min(headroom(bucket.tenant), Math.max(0, available(bucket)));
         double left = overdraft + Math.max(0, bucket.level) * SHARES;
         // What was used since the renewal before may not be in the words to the others yet.
-        bucket.allowance =
-                Math.max(left * shareOf(bucket), surplus(bucket)) - bucket.usedSinceRenewal;
+        bucket.allowance = Math.max(left / sidecars, surplus(bucket)) - bucket.usedSinceRenewal;
         bucket.usedSinceRenewal = 0;
     }
 
@@ -345,16 +338,4 @@
         double untold = GROWTH * UNTOLD_MS * Math.max(usePerMs, leastPerMs);
         return Math.min(available(bucket) - untold, MOST_SURPLUS * available(bucket));
     }
-
-    /**
-     * This sidecar's share of what is left: in part evenly, in part as the tenant's use was spread
-     * lately. The shares of all sidecars add up to 1.
-     */
-    private double shareOf(Bucket bucket) {
-        double even = 1.0 / sidecars;
-        // What those use that are not heard of is not known.
-        double heard = Math.min(1, (double) reporting / sidecars);
-        double used = bucket.allRecent > 0 ? heard * bucket.ownRecent / bucket.allRecent : even;
-        return even + USE_PART * (Math.min(1, used) - even);
-    }
 }
