Say of the datagrams' rate only what was measured

Cause: the comment claimed that hearing of more prompts is worth nothing; the plays changed more than that at once. A comment alone; the format check passed.

--- a/system/src/main/java/poppynotch/router/TellingRate.java
+++ b/system/src/main/java/poppynotch/router/TellingRate.java
@@ -8,8 +8,8 @@
 final class TellingRate {
 
     /**
-     * About 5 KB a second. More cost bytes between zones and processor time, and hearing of more
-     * prompts was worth nothing where prompts have homes.
+     * About 5 KB a second. More costs bytes between zones and processor time; what hearing of more
+     * prompts is worth was not measured apart from other changes.
      */
     private static final double DATAGRAMS_PER_S = 40;
 
