Simulate losses beyond what is tolerated, disks lost with all power, full disks and processor quotas

Need: the model knew one disk at a time, three sizes, and many losses only as a split or a kill of all. New kinds of faults: as many disks as are tolerated lost while all other replicas lose power, at any time from 0.4 s on and at the moment of an acknowledgement, the one that gave it among them; some replicas killed, frozen or with full disks, whatever is tolerated; a share of a processor that is spent early in each tenth of a second, at all replicas and edges. A fourth size: five replicas, two losses.

--- a/system/src/main/java/poppynotch/simulation/ClusterSize.java
+++ b/system/src/main/java/poppynotch/simulation/ClusterSize.java
@@ -15,13 +15,17 @@
     /** Four replicas, of which one may be lost. */
     public static final ClusterSize FOUR = new ClusterSize(4, 1, 6);
 
+    /** Five replicas, of which two may be lost: there is no spare one. */
+    public static final ClusterSize FIVE = new ClusterSize(5, 2, 6);
+
     /** Eight replicas, of which two may be lost. */
     public static final ClusterSize EIGHT = new ClusterSize(8, 2, 12);
 
     /** The size for the schedule of a seed. */
     public static ClusterSize of(long seed) {
         return switch ((int) Math.floorMod(seed, 4)) {
-            case 0, 1 -> THREE;
+            case 0 -> THREE;
+            case 1 -> FIVE;
             case 2 -> FOUR;
             default -> EIGHT;
         };
--- a/system/src/main/java/poppynotch/simulation/FaultInjection.java
+++ b/system/src/main/java/poppynotch/simulation/FaultInjection.java
@@ -60,7 +60,22 @@
         /** A server announces its shutdown without a drain before. */
         SERVER_ENDS(false),
         /** Configuration changes come in quick succession. */
-        STORM(false);
+        STORM(false),
+        /** As many replicas as are tolerated lose their disks, and all others lose power. */
+        WIPE_AND_POWER_LOSS(false),
+        /**
+         * The same at the moment of the next acknowledgement to an operator; the replica that gave
+         * it is among those that lose their disks.
+         */
+        ORDER_THEN_WIPE_AND_POWER_LOSS(false),
+        /** Some replicas, whatever is tolerated, are killed and restart at different times. */
+        KILL_MANY(false),
+        /** Some replicas, whatever is tolerated, are frozen and resume. */
+        FREEZE_MANY(false),
+        /** The disks of some replicas, whatever is tolerated, fail all writes. */
+        DISK_FULL_MANY(false),
+        /** All replicas and edges get a share of a processor that is spent early in each tenth. */
+        THROTTLE(false);
 
         private final boolean affectsOneReplica;
 
@@ -75,12 +90,26 @@
 
         /** Whether a replica's disk is lost. */
         boolean losesDisk() {
-            return this == WIPE || this == REPLACE || this == REPLACE_PLANNED || this == BEHIND;
+            return switch (this) {
+                case WIPE, REPLACE, REPLACE_PLANNED -> true;
+                default -> losesDisksOfMany();
+            };
+        }
+
+        /** Whether disks are lost while other replicas fail too: no other loss may overlap it. */
+        boolean losesDisksOfMany() {
+            return switch (this) {
+                case BEHIND, WIPE_AND_POWER_LOSS, ORDER_THEN_WIPE_AND_POWER_LOSS -> true;
+                default -> false;
+            };
         }
 
-        /** Whether all replicas, or half of them, fail at once. */
+        /** Whether more replicas may fail at once than are tolerated. */
         boolean affectsManyReplicas() {
-            return this == SPLIT || this == KILL_ALL || this == BEHIND;
+            return switch (this) {
+                case SPLIT, KILL_ALL, KILL_MANY, FREEZE_MANY, DISK_FULL_MANY -> true;
+                default -> losesDisksOfMany();
+            };
         }
     }
 }
--- a/system/src/main/java/poppynotch/simulation/FaultInjector.java
+++ b/system/src/main/java/poppynotch/simulation/FaultInjector.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import poppynotch.control.ControlPlaneNode;
 
 /**
@@ -23,6 +24,11 @@
 
     private static final int SEED_COUNT = 3;
 
+    /** The period of a quota of processor time, and the least part of it that a process runs. */
+    private static final long QUOTA_PERIOD_MS = 100;
+
+    private static final long MIN_QUOTA_MS = 8;
+
     private final SimulatedFleet fleet;
     private final SplittableRandom random;
 
@@ -161,11 +167,16 @@
      * acknowledgement. Without one in time, the fault is disarmed.
      */
     private void killAtNextAcknowledgement(long downtimeMs, Class<?> caller) {
+        armAtNextAcknowledgement(caller, replica -> restart(replica, downtimeMs));
+    }
+
+    /** A fault that strikes at the next acknowledgement; without one in time it is disarmed. */
+    private void armAtNextAcknowledgement(Class<?> caller, Consumer<VirtualControlPlane> fault) {
         fleet.armFaultAtNextAcknowledgement(
                 caller,
                 replica -> {
                     fleet.checker().onFault();
-                    restart(replica, downtimeMs);
+                    fault.accept(replica);
                 });
         fleet.time()
                 .after(
@@ -225,10 +236,93 @@
             case DRAIN -> takeReadyServer(fault.target()).drain();
             case SERVER_ENDS -> takeReadyServer(fault.target()).announceShutdown();
             case STORM -> fleet.operator().startStorm(fault.durationMs());
+            case WIPE_AND_POWER_LOSS -> wipeSomeAndPowerOff(List.of());
+            case ORDER_THEN_WIPE_AND_POWER_LOSS ->
+                    armAtNextAcknowledgement(
+                            VirtualOperator.class,
+                            replica -> wipeSomeAndPowerOff(List.of(replica)));
+            case KILL_MANY ->
+                    someReplicas()
+                            .forEach(
+                                    replica ->
+                                            restart(
+                                                    replica,
+                                                    1 + random.nextInt((int) fault.durationMs())));
+            case FREEZE_MANY -> freezeAll(someReplicas(), fault.durationMs());
+            case DISK_FULL_MANY ->
+                    someReplicas()
+                            .forEach(
+                                    replica ->
+                                            degradeDisk(
+                                                    replica,
+                                                    VirtualDisk.Condition.FULL,
+                                                    fault.durationMs()));
+            case THROTTLE -> throttleUntil(fleet.time().getAsLong() + fault.durationMs());
             default -> throw new IllegalStateException(fault.toString());
         }
     }
 
+    /** A random selection of the replicas, at least one. */
+    private List<VirtualControlPlane> someReplicas() {
+        List<VirtualControlPlane> selected = new ArrayList<>(fleet.replicas());
+        int count = 1 + random.nextInt(selected.size());
+        while (selected.size() > count) {
+            selected.remove(random.nextInt(selected.size()));
+        }
+        return selected;
+    }
+
+    private void freezeAll(List<VirtualControlPlane> replicas, long durationMs) {
+        replicas.forEach(VirtualProcess::freeze);
+        endAfter(durationMs, () -> replicas.forEach(VirtualProcess::resume));
+    }
+
+    /**
+     * As many replicas as are tolerated lose their disks, first those named, then random ones; at
+     * the same moment all others lose power. All are back soon.
+     */
+    private void wipeSomeAndPowerOff(List<VirtualControlPlane> first) {
+        List<VirtualControlPlane> others = new ArrayList<>(fleet.replicas());
+        others.removeAll(first);
+        List<VirtualControlPlane> wiped = new ArrayList<>(first);
+        while (wiped.size() < fleet.toleratedLosses()) {
+            wiped.add(others.remove(random.nextInt(others.size())));
+        }
+        fleet.replicas().forEach(this::restartAfterRandomDowntime);
+        wiped.forEach(replica -> replica.disk().wipe());
+    }
+
+    /**
+     * Lets all replicas and edges run for a part of each tenth of a second only, as where a share
+     * of a processor is a quota.
+     */
+    private void throttleUntil(long endMs) {
+        if (fleet.time().getAsLong() >= endMs) {
+            return;
+        }
+        List<VirtualProcess> processes = new ArrayList<>(fleet.replicas());
+        processes.addAll(fleet.edges());
+        for (VirtualProcess process : processes) {
+            if (process.isUp() && !process.isFrozen()) {
+                long runMs = MIN_QUOTA_MS + random.nextInt((int) (QUOTA_PERIOD_MS - MIN_QUOTA_MS));
+                pauseAfter(process, runMs, QUOTA_PERIOD_MS - runMs);
+            }
+        }
+        fleet.time().after(QUOTA_PERIOD_MS, () -> throttleUntil(endMs));
+    }
+
+    private void pauseAfter(VirtualProcess process, long delayMs, long durationMs) {
+        fleet.time()
+                .after(
+                        delayMs,
+                        () -> {
+                            if (process.isUp() && !process.isFrozen()) {
+                                process.freeze();
+                                fleet.time().after(durationMs, process::resume);
+                            }
+                        });
+    }
+
     private void restartAfterRandomDowntime(VirtualControlPlane replica) {
         restart(replica, RESTART_DELAY_MS + random.nextInt((int) RESTART_DELAY_MS));
     }
--- a/system/src/main/java/poppynotch/simulation/FaultSchedule.java
+++ b/system/src/main/java/poppynotch/simulation/FaultSchedule.java
@@ -31,6 +31,10 @@
     static final long LAST_START_MS = 32_000;
 
     private static final long FIRST_START_MS = 3000;
+
+    /** All replicas have started by then: disks may be lost from the first acknowledgement on. */
+    private static final long FIRST_DISK_LOSS_MS = 400;
+
     private static final int MIN_DRAWS = 2;
 
     /** Exclusive bound of the draws beyond {@link #MIN_DRAWS}. */
@@ -65,7 +69,8 @@
     private static FaultInjection drawFault(
             SplittableRandom random, ClusterSize size, FaultInjection.Kind[] kinds) {
         FaultInjection.Kind kind = kinds[random.nextInt(kinds.length)];
-        long startMs = FIRST_START_MS + random.nextInt((int) (LAST_START_MS - FIRST_START_MS));
+        long firstStartMs = kind.losesDisksOfMany() ? FIRST_DISK_LOSS_MS : FIRST_START_MS;
+        long startMs = firstStartMs + random.nextInt((int) (LAST_START_MS - firstStartMs));
         int target = random.nextInt(size.replicas());
         long durationMs = DURATIONS_MS[random.nextInt(DURATIONS_MS.length)];
         return new FaultInjection(startMs, kind, target, durationMs);
@@ -93,13 +98,12 @@
 
     /** While many replicas fail no disk is lost, but for the one that belongs to that fault. */
     private static boolean mustNotOverlap(FaultInjection.Kind one, FaultInjection.Kind other) {
-        boolean anyBehind =
-                one == FaultInjection.Kind.BEHIND || other == FaultInjection.Kind.BEHIND;
+        boolean anyLosesDisksOfMany = one.losesDisksOfMany() || other.losesDisksOfMany();
         boolean bothAffectReplicas = affectsReplicas(one) && affectsReplicas(other);
         boolean diskLostWhileManyFail =
                 (one.losesDisk() && other.affectsManyReplicas())
                         || (one.affectsManyReplicas() && other.losesDisk());
-        return (anyBehind && bothAffectReplicas) || diskLostWhileManyFail;
+        return (anyLosesDisksOfMany && bothAffectReplicas) || diskLostWhileManyFail;
     }
 
     private static boolean affectsReplicas(FaultInjection.Kind kind) {
@@ -115,7 +119,7 @@
         long maxDurationMs =
                 switch (fault.kind()) {
                     case TERMINATE, REPLACE_PLANNED -> fault.durationMs() + SHUTDOWN_TIMEOUT_MS;
-                    case SERVER_ENDS_THEN_KILL, ORDER_THEN_KILL ->
+                    case SERVER_ENDS_THEN_KILL, ORDER_THEN_KILL, ORDER_THEN_WIPE_AND_POWER_LOSS ->
                             fault.durationMs() + ARMED_TIMEOUT_MS;
                     default -> fault.durationMs();
                 };
