Acknowledge no change before the acceptor set bears the lost disks that are to be borne

Cause: where two losses are to be borne, the set begins with the three founders, and what two of them had accepted was acknowledged. If these two lost their disks then, with all power, the acknowledged change was gone and no vote could be recovered, for ever.

Change: the first changes are held until the set bears the losses (four members for two), 4 s at most, as absent replicas count as lost. A replica that has just created its state grants the singleton role at once: no earlier incarnation has granted anything. So the set has grown a second after the start. Seeded defect ACKNOWLEDGED_BY_FOUNDERS.

Ruled out: to recover a vote from fewer others while the set is that small, as two quorums could then choose differently.

--- a/register/src/main/java/poppynotch/register/AcceptorSet.java
+++ b/register/src/main/java/poppynotch/register/AcceptorSet.java
@@ -63,6 +63,14 @@
         return 2 * group.stream().filter(voters::contains).count() > group.size();
     }
 
+    /**
+     * Whether any {@code count} acceptors may lose their disks at once: what was chosen is on one
+     * more disk, and those that are left suffice to recover the lost votes.
+     */
+    public boolean bearsDiskLosses(int count) {
+        return members.size() / 2 >= count && (former.isEmpty() || former.size() / 2 >= count);
+    }
+
     /**
      * Whether {@code others} intersects every quorum that {@code lost} may have been part of, so
      * that they know whatever was chosen with its vote.
--- a/register/src/test/java/poppynotch/register/AcceptorSetTest.java
+++ b/register/src/test/java/poppynotch/register/AcceptorSetTest.java
@@ -36,4 +36,14 @@
         assertThat(FOUR.intersectsQuorumsOf("c", Set.of("a", "c"))).isFalse();
         assertThat(THREE.intersectsQuorumsOf("z", Set.of("a", "b"))).isTrue();
     }
+
+    @Test
+    void bearsAsManyLostDisksAsLeaveEnoughForRecovery() {
+        assertThat(THREE.bearsDiskLosses(1)).isTrue();
+        assertThat(THREE.bearsDiskLosses(2)).isFalse();
+        assertThat(FOUR.bearsDiskLosses(2)).isTrue();
+        AcceptorSet growing = THREE.changingTo(List.of("a", "b", "c", "d"));
+        assertThat(growing.bearsDiskLosses(1)).isTrue();
+        assertThat(growing.bearsDiskLosses(2)).isFalse();
+    }
 }
--- a/system/src/main/java/poppynotch/control/AcceptorSetPlanner.java
+++ b/system/src/main/java/poppynotch/control/AcceptorSetPlanner.java
@@ -54,6 +54,7 @@
         }
     }
 
+    private final int toleratedLosses;
     private final int targetSize;
 
     /** For each replica that failed to join, until when it is not asked again. */
@@ -73,7 +74,13 @@
      * @param toleratedMachines how many machines may fail at once; at least one is assumed
      */
     public AcceptorSetPlanner(int toleratedMachines) {
-        targetSize = 2 * Math.max(1, toleratedMachines) + 1;
+        toleratedLosses = Math.max(1, toleratedMachines);
+        targetSize = 2 * toleratedLosses + 1;
+    }
+
+    /** How many acceptors may fail at once. */
+    public int toleratedLosses() {
+        return toleratedLosses;
     }
 
     /**
--- a/system/src/main/java/poppynotch/control/ControlPlaneNode.java
+++ b/system/src/main/java/poppynotch/control/ControlPlaneNode.java
@@ -63,6 +63,8 @@
      * @param acceptorSetPlanner decides how the set of acceptors should change
      * @param serverHeartbeatMs the interval at which model servers renew their registration
      * @param persistedState the acceptor's state as read from disk, if there is one
+     * @param firstIncarnation whether that state was created just now, so that no earlier process
+     *     has granted anything in its name
      */
     public record Config(
             String self,
@@ -70,7 +72,8 @@
             List<String> seeds,
             AcceptorSetPlanner acceptorSetPlanner,
             long serverHeartbeatMs,
-            Optional<AcceptorState> persistedState) {}
+            Optional<AcceptorState> persistedState,
+            boolean firstIncarnation) {}
 
     /**
      * Receives the result of a read of the configuration: its JSON, or empty if the newest version
@@ -89,6 +92,7 @@
     private final RegistryReplicator servers;
     private final RegisterReplica register;
     private final AcceptorSetManager acceptorSetManager;
+    private final InitialGrowthGate growthGate;
     private final HeartbeatExchange heartbeats;
     private final PeerMessageHandler peerMessages;
     private final StatusReport statusReport;
@@ -149,6 +153,7 @@
                 new RoleElection(
                         self,
                         now,
+                        config.firstIncarnation(),
                         config.incarnation(),
                         term -> peers.sendToAll(new Message.RoleClaim(term)));
         acceptorSetManager =
@@ -160,6 +165,8 @@
                         contact,
                         election,
                         quorumLease::isExpired);
+        growthGate =
+                new InitialGrowthGate(register, config.acceptorSetPlanner().toleratedLosses(), now);
         heartbeats =
                 new HeartbeatExchange(
                         peers, register, quorumLease, servers, registry, edges, acceptorSetManager);
@@ -188,6 +195,7 @@
             sendHeartbeat(now);
         }
         acceptorSetManager.tick(now);
+        growthGate.tick(now);
     }
 
     private void checkQuorumLease(long nowMs) {
@@ -304,11 +312,17 @@
             end.accept(new OperatorChangeResult.Unclear());
             return;
         }
-        register.submit(
+        long deadlineMs = now + CHANGE_TIMEOUT_MS;
+        growthGate.whenOpen(
                 now,
-                change,
-                now + CHANGE_TIMEOUT_MS,
-                outcome -> end.accept(change.resultOf(outcome)));
+                deadlineMs,
+                () ->
+                        register.submit(
+                                clock.getAsLong(),
+                                change,
+                                deadlineMs,
+                                outcome -> end.accept(change.resultOf(outcome))),
+                () -> end.accept(new OperatorChangeResult.Unclear()));
     }
 
     /** Reads the newest configuration by a proposal round of its own (a linearizable read). */
--- a/system/src/main/java/poppynotch/control/ControlPlaneServer.java
+++ b/system/src/main/java/poppynotch/control/ControlPlaneServer.java
@@ -118,7 +118,10 @@
                                                 "DataDir is missing: a core process needs a disk"));
         Files.createDirectories(folder);
         AcceptorStateStore files = new AcceptorStateStore(folder);
-        Optional<AcceptorState> persisted = readOrBootstrap(files);
+        Optional<AcceptorState> restored = files.read();
+        boolean firstIncarnation = restored.isEmpty() && settings.bootstrap();
+        Optional<AcceptorState> persisted =
+                firstIncarnation ? Optional.of(bootstrap(files)) : restored;
         LOG.info(
                 "Acceptor state restored: folder={}, state={}",
                 folder,
@@ -130,7 +133,8 @@
                         seedAddresses(settings),
                         new AcceptorSetPlanner(settings.toleratedMachineFailures()),
                         settings.heartbeatMs(),
-                        persisted);
+                        persisted,
+                        firstIncarnation);
         QuorumContact contact = new QuorumContact(self);
         node =
                 new ControlPlaneNode<>(
@@ -148,14 +152,10 @@
                 loop, self, incarnation, settings.peerPort(), ControlPlaneServer::nowMs, contact);
     }
 
-    private Optional<AcceptorState> readOrBootstrap(AcceptorStateStore files) throws IOException {
-        Optional<AcceptorState> persisted = files.read();
-        if (persisted.isPresent() || !settings.bootstrap()) {
-            return persisted;
-        }
+    private AcceptorState bootstrap(AcceptorStateStore files) throws IOException {
         AcceptorState initial = AcceptorState.initial(AcceptorSet.of(seedAddresses(settings)));
         writeUntilPersisted(files, initial);
-        return Optional.of(initial);
+        return initial;
     }
 
     /** Retries, as a full or failing disk may recover, and nothing may be promised before. */
--- a/system/src/main/java/poppynotch/control/RegisterReplica.java
+++ b/system/src/main/java/poppynotch/control/RegisterReplica.java
@@ -138,6 +138,11 @@
         return chosen == null ? Ballot.ZERO : chosen.ballot();
     }
 
+    /** The generation of the newest value known to be chosen; 0 if none is known. */
+    long chosenGeneration() {
+        return chosen == null ? 0 : chosen.value().generation();
+    }
+
     /** The revision of the newest value known to be chosen; -1 if none is known. */
     long chosenRevision() {
         return chosen == null ? -1 : chosen.value().revision();
--- a/system/src/main/java/poppynotch/control/RoleElection.java
+++ b/system/src/main/java/poppynotch/control/RoleElection.java
@@ -63,13 +63,15 @@
      * Creates a replica that knows of no grants. It grants nothing for the length of a lease, as a
      * grant of its previous incarnation may still bind it.
      *
+     * @param firstIncarnation there was no previous one, so that it may grant at once
      * @param seed of the random delays before claims
      */
-    public RoleElection(String self, long nowMs, long seed, ClaimSender claimSender) {
+    public RoleElection(
+            String self, long nowMs, boolean firstIncarnation, long seed, ClaimSender claimSender) {
         this.self = self;
         this.claimSender = claimSender;
         random = new SplittableRandom(seed);
-        grantEndsMs = nowMs + LEASE_MS;
+        grantEndsMs = firstIncarnation ? nowMs : nowMs + LEASE_MS;
         nextClaimMs = grantEndsMs + random.nextInt(CLAIM_SPREAD_MS);
     }
 
--- a/system/src/main/java/poppynotch/simulation/FaultSchedule.java
+++ b/system/src/main/java/poppynotch/simulation/FaultSchedule.java
@@ -35,6 +35,9 @@
     /** All replicas have started by then: disks may be lost from the first acknowledgement on. */
     private static final long FIRST_DISK_LOSS_MS = 400;
 
+    /** The acceptor set is still to grow, or has just grown. */
+    private static final long LAST_EARLY_START_MS = 1600;
+
     private static final int MIN_DRAWS = 2;
 
     /** Exclusive bound of the draws beyond {@link #MIN_DRAWS}. */
@@ -69,13 +72,20 @@
     private static FaultInjection drawFault(
             SplittableRandom random, ClusterSize size, FaultInjection.Kind[] kinds) {
         FaultInjection.Kind kind = kinds[random.nextInt(kinds.length)];
-        long firstStartMs = kind.losesDisksOfMany() ? FIRST_DISK_LOSS_MS : FIRST_START_MS;
-        long startMs = firstStartMs + random.nextInt((int) (LAST_START_MS - firstStartMs));
+        long startMs = drawStartMs(random, kind);
         int target = random.nextInt(size.replicas());
         long durationMs = DURATIONS_MS[random.nextInt(DURATIONS_MS.length)];
         return new FaultInjection(startMs, kind, target, durationMs);
     }
 
+    /** Half of the faults with lost disks strike while the acceptor set is still to grow. */
+    private static long drawStartMs(SplittableRandom random, FaultInjection.Kind kind) {
+        boolean early = kind.losesDisksOfMany() && random.nextBoolean();
+        long firstMs = early ? FIRST_DISK_LOSS_MS : FIRST_START_MS;
+        long lastMs = early ? LAST_EARLY_START_MS : LAST_START_MS;
+        return firstMs + random.nextInt((int) (lastMs - firstMs));
+    }
+
     /** Whether {@code candidate} may happen besides the faults accepted so far. */
     private static boolean isCompatible(
             List<FaultInjection> accepted, FaultInjection candidate, ClusterSize size) {
--- a/system/src/main/java/poppynotch/simulation/SeededDefect.java
+++ b/system/src/main/java/poppynotch/simulation/SeededDefect.java
@@ -30,5 +30,7 @@
     /** Only four changes are remembered. */
     HISTORY_OF_FOUR,
     /** An acceptor that shuts down or is lost is never replaced. */
-    PLACE_NEVER_HANDED_ON
+    PLACE_NEVER_HANDED_ON,
+    /** Changes are acknowledged while the founders' set is too small for the losses to be borne. */
+    ACKNOWLEDGED_BY_FOUNDERS
 }
--- a/system/src/test/java/poppynotch/simulation/ControlTimelineTest.java
+++ b/system/src/test/java/poppynotch/simulation/ControlTimelineTest.java
@@ -292,6 +292,38 @@
                         .replace("LAST", String.valueOf(second + 5500)));
     }
 
+    /** Point 3: the first change waits until the set bears two lost disks, and survives them. */
+    @Test
+    void firstChangeSurvivesLossOfTwoFoundersAndOfAllPower() {
+        new Timeline(
+                ClusterSize.FIVE,
+                """
+                ms    | core0                | core1 | core2 | core3 | core4
+                400   | put a; set 012       |       |       |       |
+                500   | a unclear            |       |       |       |
+                2000  | a taken; set 01234   |       |       |       |
+                2100  | wipe                 | wipe  | kill  | kill  | kill
+                2500  | start                | start | start | start | start
+                9000  | has a; confirms; put b | has a | has a | has a | has a
+                9500  | b taken              |       |       |       |
+                """);
+    }
+
+    /** Point 3: where replicas are missing from the start, the first change waits 4 s at most. */
+    @Test
+    void firstChangeIsTakenByThreeReplicasWhereTwoAreMissing() {
+        new Timeline(
+                ClusterSize.FIVE,
+                """
+                ms    | core0                | core1 | core2 | core3 | core4
+                320   |                      |       |       | kill  | kill
+                400   | put a                |       |       |       |
+                3100  | a unclear; set 012   |       |       |       |
+                4400  | put b                |       |       |       |
+                4900  | b taken; set 012     |       |       |       |
+                """);
+    }
+
     /** Point 4: down for hundreds of changes, it soon has the newest, and can change that. */
     @Test
     void replicaThatMissedHundredsOfChangesCatchesUp() {
