Fence changes of the acceptor set by an epoch in the register's value

Cause: a change named the set that it starts from, and the register refused it on any other. A set that was replaced and put back within one round let the change of a paused holder through; and the holder's term of the election is known to no value: it is in memory, and grants of lower terms count.

Change: the value counts its changes of the acceptor set; each change names the epoch that it starts from and is refused in any other, and the log says Fenced. Chosen over the election's term, as the register itself gives out the numbers: they rise without a gap whoever holds the role, also for a replica that leaves. The epoch stands behind the value as the last field of a record, on disk and on the wire, only where it is above 0: earlier versions read the rest as before, and what they wrote has epoch 0.

--- a/register/src/main/java/poppynotch/register/AcceptorStateStore.java
+++ b/register/src/main/java/poppynotch/register/AcceptorStateStore.java
@@ -183,12 +183,12 @@
     private static void writeState(DataOutputStream out, AcceptorState state) throws IOException {
         ValueCodec.writeBallot(out, state.promised());
         ValueCodec.writeBallot(out, state.accepted());
-        ValueCodec.writeValue(out, state.value());
+        ValueCodec.writeLastValue(out, state.value());
     }
 
     private static AcceptorState readState(DataInputStream in) throws IOException {
         return new AcceptorState(
-                ValueCodec.readBallot(in), ValueCodec.readBallot(in), ValueCodec.readValue(in));
+                ValueCodec.readBallot(in), ValueCodec.readBallot(in), ValueCodec.readLastValue(in));
     }
 
     @Override
--- a/register/src/main/java/poppynotch/register/RegisterValue.java
+++ b/register/src/main/java/poppynotch/register/RegisterValue.java
@@ -13,13 +13,16 @@
  * @param generation the operator's version of the configuration; 0 before the first
  * @param document the configuration as its owner encodes it; empty before the first
  * @param history the latest changes, the newest last
+ * @param acceptorEpoch grows by one with each change of the acceptor set; a change names the epoch
+ *     that it starts from, so that the value itself fences out all others
  */
 public record RegisterValue(
         long revision,
         AcceptorSet acceptors,
         long generation,
         byte[] document,
-        List<AppliedChange> history) {
+        List<AppliedChange> history,
+        long acceptorEpoch) {
 
     /**
      * How many applied changes are remembered. Whether a change that is older than that was applied
@@ -30,7 +33,7 @@
 
     /** The value of a register before the first change. */
     public static RegisterValue initial(AcceptorSet acceptors) {
-        return new RegisterValue(0, acceptors, 0, new byte[0], List.of());
+        return new RegisterValue(0, acceptors, 0, new byte[0], List.of(), 0);
     }
 
     public RegisterValue {
@@ -61,12 +64,25 @@
                 acceptors,
                 newGeneration,
                 newDocument,
-                newHistory.subList(surplus, newHistory.size()));
+                newHistory.subList(surplus, newHistory.size()),
+                acceptorEpoch);
     }
 
     /** The value after a change of the acceptor set. */
     public RegisterValue withAcceptors(AcceptorSet newAcceptors) {
-        return new RegisterValue(revision + 1, newAcceptors, generation, document, history);
+        return new RegisterValue(
+                revision + 1, newAcceptors, generation, document, history, acceptorEpoch + 1);
+    }
+
+    /** The same value of another epoch, as where the epoch is stored apart. */
+    RegisterValue withAcceptorEpoch(long epoch) {
+        return new RegisterValue(revision, acceptors, generation, document, history, epoch);
+    }
+
+    /** The same value with other remembered changes. */
+    public RegisterValue withHistory(List<AppliedChange> otherHistory) {
+        return new RegisterValue(
+                revision, acceptors, generation, document, otherHistory, acceptorEpoch);
     }
 
     @Override
@@ -74,6 +90,7 @@
         return other instanceof RegisterValue value
                 && revision == value.revision
                 && generation == value.generation
+                && acceptorEpoch == value.acceptorEpoch
                 && acceptors.equals(value.acceptors)
                 && Arrays.equals(document, value.document)
                 && history.equals(value.history);
@@ -93,6 +110,8 @@
                 + ", "
                 + document.length
                 + " bytes, "
-                + acceptors;
+                + acceptors
+                + " of epoch "
+                + acceptorEpoch;
     }
 }
--- a/register/src/main/java/poppynotch/register/ValueCodec.java
+++ b/register/src/main/java/poppynotch/register/ValueCodec.java
@@ -32,7 +32,25 @@
         return new Ballot(in.readLong(), in.readLong());
     }
 
-    /** Writes a complete value. */
+    /**
+     * Writes a value as the last field of a record, with the fields that were added later: readers
+     * of earlier versions leave them unread. A value without them is written as it was before.
+     */
+    public static void writeLastValue(DataOutputStream out, RegisterValue value)
+            throws IOException {
+        writeValue(out, value);
+        if (value.acceptorEpoch() > 0) {
+            out.writeLong(value.acceptorEpoch());
+        }
+    }
+
+    /** Reads what {@link #writeLastValue} wrote, in this version or an earlier one. */
+    public static RegisterValue readLastValue(DataInputStream in) throws IOException {
+        RegisterValue value = readValue(in);
+        return in.available() >= Long.BYTES ? value.withAcceptorEpoch(in.readLong()) : value;
+    }
+
+    /** Writes a value between other fields; its acceptor epoch is left out. */
     public static void writeValue(DataOutputStream out, RegisterValue value) throws IOException {
         out.writeLong(value.revision());
         writeStrings(out, value.acceptors().members());
@@ -59,7 +77,7 @@
         for (int i = 0; i < count; i++) {
             history.add(new AppliedChange(in.readLong(), in.readLong()));
         }
-        return new RegisterValue(revision, acceptors, generation, document, history);
+        return new RegisterValue(revision, acceptors, generation, document, history, 0);
     }
 
     /** Writes the length of a list, then its strings. */
--- a/register/src/test/java/poppynotch/register/AcceptorStateStoreTest.java
+++ b/register/src/test/java/poppynotch/register/AcceptorStateStoreTest.java
@@ -26,7 +26,8 @@
                         AcceptorSet.of(List.of("a", "b", "c")),
                         counter,
                         new byte[documentBytes],
-                        List.of(new AppliedChange(counter, counter))));
+                        List.of(new AppliedChange(counter, counter)),
+                        0));
     }
 
     private Optional<AcceptorState> readFromDisk() throws IOException {
--- a/register/src/test/java/poppynotch/register/StoredStateFormatTest.java
+++ b/register/src/test/java/poppynotch/register/StoredStateFormatTest.java
@@ -27,7 +27,8 @@
                     new AcceptorSet(List.of("10.0.0.1:7000", "10.0.0.2:7000"), List.of("é:1")),
                     9,
                     new byte[] {1, 2, -1},
-                    List.of(new AppliedChange(7, 8), new AppliedChange(-7, 9)));
+                    List.of(new AppliedChange(7, 8), new AppliedChange(-7, 9)),
+                    0);
     private static final RegisterValue SECOND_VALUE =
             FIRST_VALUE.withDocument(10, new byte[] {5}, 77);
     private static final AcceptorState FIRST_STATE =
@@ -92,4 +93,41 @@
         assertThat(ValueCodec.readBallot(in)).isEqualTo(new Ballot(5, -3));
         assertThat(ValueCodec.readValue(in)).isEqualTo(SECOND_VALUE);
     }
+
+    /** The acceptor epoch stands behind what earlier versions read, and is 0 in what they wrote. */
+    @Test
+    void acceptorEpochIsReadAndLeavesEarlierFieldsAsTheyWere() throws IOException {
+        RegisterValue changed =
+                SECOND_VALUE.withAcceptors(AcceptorSet.of(List.of("10.0.0.1:7000")));
+        assertThat(changed.acceptorEpoch()).isEqualTo(1);
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        ValueCodec.writeLastValue(new DataOutputStream(bytes), changed);
+        byte[] record = bytes.toByteArray();
+        assertThat(ValueCodec.readLastValue(input(record))).isEqualTo(changed);
+        assertThat(ValueCodec.readValue(input(record))).isEqualTo(changed.withAcceptorEpoch(0));
+        ByteArrayOutputStream earlier = new ByteArrayOutputStream();
+        ValueCodec.writeValue(new DataOutputStream(earlier), changed);
+        assertThat(record).hasLength(earlier.size() + Long.BYTES);
+        assertThat(ValueCodec.readLastValue(input(earlier.toByteArray())))
+                .isEqualTo(changed.withAcceptorEpoch(0));
+    }
+
+    private static DataInputStream input(byte[] record) {
+        return new DataInputStream(new ByteArrayInputStream(record));
+    }
+
+    @Test
+    void acceptorEpochSurvivesRestart() throws IOException {
+        RegisterValue changed =
+                SECOND_VALUE.withAcceptors(AcceptorSet.of(List.of("10.0.0.1:7000")));
+        AcceptorState state = new AcceptorState(new Ballot(7, 1), new Ballot(7, 1), changed);
+        try (AcceptorStateStore store = new AcceptorStateStore(folder)) {
+            store.read();
+            store.write(FIRST_STATE);
+            store.write(state);
+        }
+        try (AcceptorStateStore store = new AcceptorStateStore(folder)) {
+            assertThat(store.read()).isEqualTo(Optional.of(state));
+        }
+    }
 }
--- a/system/src/main/java/poppynotch/control/AcceptorSetManager.java
+++ b/system/src/main/java/poppynotch/control/AcceptorSetManager.java
@@ -10,6 +10,7 @@
 import poppynotch.register.AcceptorSet;
 import poppynotch.register.ChangeFunction;
 import poppynotch.register.ProposalOutcome;
+import poppynotch.register.RegisterValue;
 
 /**
  * Applies the changes of the acceptor set that {@link AcceptorSetPlanner} finds necessary, while
@@ -25,6 +26,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(AcceptorSetManager.class);
 
+    private static final long NOT_STARTED = Long.MIN_VALUE;
     private static final long PLANNING_INTERVAL_MS = 200;
     private static final long CHANGE_TIMEOUT_MS = 1500;
 
@@ -42,6 +44,9 @@
     /** For each peer that is leaving, when it last said so. */
     private final Map<String, Long> leavingHeartbeatMs = new HashMap<>();
 
+    /** When the first tick was. */
+    private long startedMs = NOT_STARTED;
+
     private boolean leaving;
     private boolean changeInProgress;
     private long nextPlanningMs;
@@ -106,6 +111,9 @@
 
     /** Takes part in the election of the role, and starts the next change if one is necessary. */
     void tick(long nowMs) {
+        if (startedMs == NOT_STARTED) {
+            startedMs = nowMs;
+        }
         election.tick(nowMs);
         if (nowMs < nextPlanningMs) {
             return;
@@ -122,7 +130,7 @@
     }
 
     private void startNextChange(long nowMs) {
-        AcceptorSet before = register.acceptors();
+        RegisterValue before = register.chosen().orElseThrow().value();
         Optional<ChangeFunction> next =
                 planner.nextChange(nowMs, before, register.chosenBallot(), replicas(nowMs));
         next.ifPresent(
@@ -136,21 +144,36 @@
                 });
     }
 
-    private void onChangeEnded(AcceptorSet before, ProposalOutcome outcome) {
+    private void onChangeEnded(RegisterValue before, ProposalOutcome outcome) {
         changeInProgress = false;
         // A change may be one step of several: the next one is planned without a pause.
         nextPlanningMs = 0;
+        boolean fenced = outcome instanceof ProposalOutcome.Chosen chosen && !chosen.replaced();
         LOG.info(
-                "Acceptor set change ended: before={}, after={}, outcome={}",
-                before,
+                "Acceptor set change ended: before={}, beforeEpoch={}, after={}, outcome={}",
+                before.acceptors(),
+                before.acceptorEpoch(),
                 register.acceptors(),
-                outcome.getClass().getSimpleName());
+                fenced ? "Fenced" : outcome.getClass().getSimpleName());
     }
 
     private List<AcceptorSetPlanner.ReplicaStatus> replicas(long nowMs) {
         return peers.knownReplicas().stream().map(address -> replica(nowMs, address)).toList();
     }
 
+    /**
+     * Time since the last contact with a peer. One that has not replied since this process started
+     * may be starting too: it is not eligible, and unreachable only once this process has tried for
+     * as long as that takes.
+     */
+    private long contactAgeMs(long nowMs, String peer) {
+        long ageMs = contact.contactAgeMs(nowMs, peer);
+        long triedForMs = nowMs - startedMs;
+        return ageMs <= triedForMs
+                ? ageMs
+                : Math.max(AcceptorSetPlanner.MAX_CONTACT_AGE_MS + 1, triedForMs);
+    }
+
     private AcceptorSetPlanner.ReplicaStatus replica(long nowMs, String address) {
         if (address.equals(self)) {
             return new AcceptorSetPlanner.ReplicaStatus(
@@ -158,7 +181,7 @@
         }
         return new AcceptorSetPlanner.ReplicaStatus(
                 address,
-                contact.contactAgeMs(nowMs, address),
+                contactAgeMs(nowMs, address),
                 contact.persistedBallot(address),
                 leavingHeartbeatMs.containsKey(address));
     }
--- a/system/src/main/java/poppynotch/control/AcceptorSetPlanner.java
+++ b/system/src/main/java/poppynotch/control/AcceptorSetPlanner.java
@@ -86,10 +86,17 @@
     /**
      * The next change of the acceptor set, if one is necessary.
      *
-     * @param valueBallot the ballot of the value that {@code current} is part of
+     * @param value the newest value that is known to be chosen, whose set may change
+     * @param valueBallot the ballot of that value
      * @param replicas all control-plane replicas that are known
      */
     public Optional<ChangeFunction> nextChange(
+            long nowMs, RegisterValue value, Ballot valueBallot, List<ReplicaStatus> replicas) {
+        return nextSet(nowMs, value.acceptors(), valueBallot, replicas)
+                .map(next -> changeOf(value, next));
+    }
+
+    private Optional<AcceptorSet> nextSet(
             long nowMs, AcceptorSet current, Ballot valueBallot, List<ReplicaStatus> replicas) {
         backoffUntilMs.values().removeIf(untilMs -> nowMs >= untilMs);
         if (current.isChanging()) {
@@ -108,7 +115,7 @@
             return Optional.empty();
         }
         next.add(candidate.get().address());
-        return Optional.of(changeOf(current, current.changingTo(next)));
+        return Optional.of(current.changingTo(next));
     }
 
     /** The best replica that is no acceptor: the eligible one with the newest value on disk. */
@@ -133,7 +140,7 @@
     }
 
     /** Completes the change in progress once the joining members are ready, or times it out. */
-    private Optional<ChangeFunction> endJoin(
+    private Optional<AcceptorSet> endJoin(
             long nowMs, AcceptorSet current, Ballot valueBallot, List<ReplicaStatus> replicas) {
         if (!current.equals(joiningSet)) {
             joiningSet = current;
@@ -145,13 +152,13 @@
                         .filter(member -> !current.former().contains(member))
                         .collect(Collectors.toSet());
         if (allHaveValueOnDisk(joining, replicas)) {
-            return Optional.of(changeOf(current, current.withChangeCompleted()));
+            return Optional.of(current.withChangeCompleted());
         }
         if (nowMs - joiningSinceMs < JOIN_TIMEOUT_MS) {
             return Optional.empty();
         }
         joining.forEach(member -> backoffUntilMs.put(member, nowMs + REJOIN_BACKOFF_MS));
-        return Optional.of(changeOf(current, AcceptorSet.of(current.former())));
+        return Optional.of(AcceptorSet.of(current.former()));
     }
 
     private boolean allHaveValueOnDisk(Set<String> joining, List<ReplicaStatus> replicas) {
@@ -164,10 +171,14 @@
         return ready == joining.size();
     }
 
-    /** A change that does nothing unless the register still has the set {@code from}. */
-    private static ChangeFunction changeOf(AcceptorSet from, AcceptorSet to) {
+    /**
+     * A change that does nothing unless the register still has the set that it starts from, in the
+     * same epoch: also a set that was replaced and put back is another one.
+     */
+    private static ChangeFunction changeOf(RegisterValue from, AcceptorSet to) {
         return (RegisterValue value) ->
-                value.acceptors().equals(from)
+                value.acceptors().equals(from.acceptors())
+                                && value.acceptorEpoch() == from.acceptorEpoch()
                         ? new ChangeFunction.Decision.Replace(value.withAcceptors(to))
                         : new ChangeFunction.Decision.Keep();
     }
--- a/system/src/main/java/poppynotch/control/LongPollService.java
+++ b/system/src/main/java/poppynotch/control/LongPollService.java
@@ -169,11 +169,6 @@
 
     /** Edges do not need the history of changes. */
     private static RegisterValue withoutHistory(RegisterValue value) {
-        return new RegisterValue(
-                value.revision(),
-                value.acceptors(),
-                value.generation(),
-                value.document(),
-                List.of());
+        return value.withHistory(List.of());
     }
 }
--- a/system/src/main/java/poppynotch/simulation/DefectiveSetPlanner.java
+++ b/system/src/main/java/poppynotch/simulation/DefectiveSetPlanner.java
@@ -6,6 +6,7 @@
 import poppynotch.register.AcceptorSet;
 import poppynotch.register.Ballot;
 import poppynotch.register.ChangeFunction;
+import poppynotch.register.RegisterValue;
 
 /** A planner of the acceptor set with a {@link SeededDefect}. */
 final class DefectiveSetPlanner extends AcceptorSetPlanner {
@@ -24,9 +25,19 @@
 
     @Override
     public Optional<ChangeFunction> nextChange(
-            long nowMs, AcceptorSet current, Ballot valueBallot, List<ReplicaStatus> replicas) {
-        return defect == SeededDefect.PLACE_NEVER_HANDED_ON
-                ? Optional.empty()
-                : super.nextChange(nowMs, current, valueBallot, replicas);
+            long nowMs, RegisterValue value, Ballot valueBallot, List<ReplicaStatus> replicas) {
+        if (defect == SeededDefect.PLACE_NEVER_HANDED_ON) {
+            return Optional.empty();
+        }
+        Optional<ChangeFunction> next = super.nextChange(nowMs, value, valueBallot, replicas);
+        return defect == SeededDefect.SET_CHANGE_NOT_FENCED
+                ? next.map(change -> withoutFence(change, value))
+                : next;
+    }
+
+    private static ChangeFunction withoutFence(ChangeFunction change, RegisterValue planned) {
+        AcceptorSet target =
+                ((ChangeFunction.Decision.Replace) change.apply(planned)).value().acceptors();
+        return current -> new ChangeFunction.Decision.Replace(current.withAcceptors(target));
     }
 }
--- a/system/src/main/java/poppynotch/simulation/InvariantChecker.java
+++ b/system/src/main/java/poppynotch/simulation/InvariantChecker.java
@@ -32,6 +32,8 @@
     private Optional<String> finding = Optional.empty();
     private long lastFaultMs;
 
+    private final AcceptorSetHistory acceptorSets = new AcceptorSetHistory();
+
     /** Content of all versions that were in force at some edge, or read by an operator. */
     private final Map<Long, String> contentByGeneration = new TreeMap<>();
 
@@ -123,6 +125,18 @@
 
     // ---- periodic checks ----
 
+    /** Checks the acceptor sets that the replicas know. */
+    void checkAcceptorSets() {
+        for (VirtualControlPlane replica : fleet.replicas()) {
+            if (replica.isUp()) {
+                replica.node()
+                        .chosenValue()
+                        .flatMap(chosen -> acceptorSets.record(chosen.value()))
+                        .ifPresent(this::report);
+            }
+        }
+    }
+
     /** Checks the edges that are in stable contact with the control plane. */
     void checkEdges() {
         long nowMs = fleet.time().getAsLong();
--- a/system/src/main/java/poppynotch/simulation/SeededDefect.java
+++ b/system/src/main/java/poppynotch/simulation/SeededDefect.java
@@ -32,5 +32,7 @@
     /** An acceptor that shuts down or is lost is never replaced. */
     PLACE_NEVER_HANDED_ON,
     /** Changes are acknowledged while the founders' set is too small for the losses to be borne. */
-    ACKNOWLEDGED_BY_FOUNDERS
+    ACKNOWLEDGED_BY_FOUNDERS,
+    /** A change of the acceptor set is applied to whatever set there is, not only to its own. */
+    SET_CHANGE_NOT_FENCED
 }
--- a/system/src/main/java/poppynotch/simulation/SimulatedFleet.java
+++ b/system/src/main/java/poppynotch/simulation/SimulatedFleet.java
@@ -82,6 +82,7 @@
     private void checkPeriodically() {
         time.after(CHECK_INTERVAL_MS, this::checkPeriodically);
         checker.checkEdges();
+        checker.checkAcceptorSets();
     }
 
     private static String replicaAddress(int number) {
--- a/system/src/main/java/poppynotch/simulation/SubmittedChange.java
+++ b/system/src/main/java/poppynotch/simulation/SubmittedChange.java
@@ -109,13 +109,7 @@
             public Decision apply(RegisterValue current) {
                 List<AppliedChange> history = current.history();
                 int surplus = Math.max(0, history.size() - DEFECTIVE_HISTORY_LENGTH);
-                return change.apply(
-                        new RegisterValue(
-                                current.revision(),
-                                current.acceptors(),
-                                current.generation(),
-                                current.document(),
-                                history.subList(surplus, history.size())));
+                return change.apply(current.withHistory(history.subList(surplus, history.size())));
             }
         };
     }
--- a/system/src/main/java/poppynotch/wire/MessageCodec.java
+++ b/system/src/main/java/poppynotch/wire/MessageCodec.java
@@ -63,7 +63,8 @@
             case HEARTBEAT_REPLY -> HeartbeatCodec.readReply(in);
             case REGISTER_MESSAGE -> new Message.RegisterEnvelope(RegisterMessageCodec.read(in));
             case VALUE_CHOSEN ->
-                    new Message.ValueChosen(ValueCodec.readBallot(in), ValueCodec.readValue(in));
+                    new Message.ValueChosen(
+                            ValueCodec.readBallot(in), ValueCodec.readLastValue(in));
             case FETCH_VALUE -> new Message.FetchValue();
             case SERVERS_CHANGED ->
                     new Message.ServersChanged(in.readLong(), FieldCodec.readServers(in));
@@ -119,7 +120,7 @@
         } else if (message instanceof Message.ValueChosen chosen) {
             out.writeByte(VALUE_CHOSEN);
             ValueCodec.writeBallot(out, chosen.ballot());
-            ValueCodec.writeValue(out, chosen.value());
+            ValueCodec.writeLastValue(out, chosen.value());
         } else if (message instanceof Message.FetchValue) {
             out.writeByte(FETCH_VALUE);
         } else if (message instanceof Message.ServersChanged changed) {
--- a/system/src/main/java/poppynotch/wire/RegisterMessageCodec.java
+++ b/system/src/main/java/poppynotch/wire/RegisterMessageCodec.java
@@ -27,11 +27,11 @@
             out.writeByte(PROMISE);
             ValueCodec.writeBallot(out, promise.ballot());
             ValueCodec.writeBallot(out, promise.accepted());
-            ValueCodec.writeValue(out, promise.value());
+            ValueCodec.writeLastValue(out, promise.value());
         } else if (message instanceof RegisterMessage.Accept accept) {
             out.writeByte(ACCEPT);
             ValueCodec.writeBallot(out, accept.ballot());
-            ValueCodec.writeValue(out, accept.value());
+            ValueCodec.writeLastValue(out, accept.value());
         } else if (message instanceof RegisterMessage.Accepted accepted) {
             out.writeByte(ACCEPTED);
             ValueCodec.writeBallot(out, accepted.ballot());
@@ -49,8 +49,8 @@
             case PREPARE -> new RegisterMessage.Prepare(ballot);
             case PROMISE ->
                     new RegisterMessage.Promise(
-                            ballot, ValueCodec.readBallot(in), ValueCodec.readValue(in));
-            case ACCEPT -> new RegisterMessage.Accept(ballot, ValueCodec.readValue(in));
+                            ballot, ValueCodec.readBallot(in), ValueCodec.readLastValue(in));
+            case ACCEPT -> new RegisterMessage.Accept(ballot, ValueCodec.readLastValue(in));
             case ACCEPTED -> new RegisterMessage.Accepted(ballot);
             case REJECTED -> new RegisterMessage.Rejected(ballot, ValueCodec.readBallot(in));
             default -> throw new MalformedRecordException("register message kind=" + kind);
--- a/system/src/test/java/poppynotch/control/AcceptorSetPlannerTest.java
+++ b/system/src/test/java/poppynotch/control/AcceptorSetPlannerTest.java
@@ -47,7 +47,8 @@
     }
 
     private AcceptorSet setAfterNextChange(AcceptorSetPlanner planner, AcceptorSet set) {
-        Optional<ChangeFunction> next = planner.nextChange(nowMs, set, VALUE_BALLOT, replicas);
+        Optional<ChangeFunction> next =
+                planner.nextChange(nowMs, RegisterValue.initial(set), VALUE_BALLOT, replicas);
         if (next.isEmpty()) {
             return set;
         }
@@ -137,9 +138,23 @@
     @Test
     void keepsValueWhenChangeStartsFromAnotherSet() {
         addReplica("a", 0).addReplica("b", 10).addReplica("c", 1600).addReplica("d", 10);
-        ChangeFunction next = planner.nextChange(nowMs, ABC, VALUE_BALLOT, replicas).orElseThrow();
+        ChangeFunction next =
+                planner.nextChange(nowMs, RegisterValue.initial(ABC), VALUE_BALLOT, replicas)
+                        .orElseThrow();
         AcceptorSet meanwhile = AcceptorSet.of(List.of("a", "b", "e"));
         assertThat(next.apply(RegisterValue.initial(meanwhile)))
                 .isEqualTo(new ChangeFunction.Decision.Keep());
     }
+
+    /** A holder that was paused meanwhile changes nothing, also where the set is the same again. */
+    @Test
+    void changeIsFencedOnceSetWasReplacedAndPutBack() {
+        addReplica("a", 0).addReplica("b", 10).addReplica("c", 7000).addReplica("d", 10);
+        RegisterValue planned = RegisterValue.initial(ABC);
+        ChangeFunction change =
+                planner.nextChange(nowMs, planned, VALUE_BALLOT, replicas).orElseThrow();
+        RegisterValue putBack = planned.withAcceptors(ABD_FROM_ABC).withAcceptors(ABC);
+        assertThat(change.apply(planned)).isInstanceOf(ChangeFunction.Decision.Replace.class);
+        assertThat(change.apply(putBack)).isInstanceOf(ChangeFunction.Decision.Keep.class);
+    }
 }
--- a/system/src/test/java/poppynotch/simulation/ControlTimelineTest.java
+++ b/system/src/test/java/poppynotch/simulation/ControlTimelineTest.java
@@ -309,6 +309,21 @@
                 """);
     }
 
+    /** Point 3: a founder that starts later than the others is not taken for lost. */
+    @Test
+    void founderThatStartsLateKeepsItsPlace() {
+        new Timeline(
+                ClusterSize.FOUR,
+                """
+                ms    | core0                | core1 | core2 | core3
+                0     |                      | kill  |       |
+                310   |                      | kill  |       |
+                1500  | set 012              |       |       |
+                1550  |                      | start |       |
+                4000  | set 012; confirms    | confirms | confirms | confirms
+                """);
+    }
+
     /** Point 3: where replicas are missing from the start, the first change waits 4 s at most. */
     @Test
     void firstChangeIsTakenByThreeReplicasWhereTwoAreMissing() {
--- a/system/src/test/java/poppynotch/wire/MessageCodecTest.java
+++ b/system/src/test/java/poppynotch/wire/MessageCodecTest.java
@@ -27,7 +27,8 @@
                     new AcceptorSet(List.of("a"), List.of("b")),
                     9,
                     new byte[] {1, 2},
-                    List.of(new AppliedChange(7, 9)));
+                    List.of(new AppliedChange(7, 9)),
+                    0);
     private static final ServerRecord SERVER =
             new ServerRecord("i", "s", "h:1", "z", 4, ServerState.DRAINING, 8);
     private static final List<TenantUsage> USAGE = List.of(new TenantUsage("t", 12));
