Count others' use of quotas from a replica's first report on

Cause: others' use is the total less this edge's own use, as differences of two reports. A replica that has just started has no total yet, and the first difference left the tenant out: all that the edge had used since its start then came in as given back by the others, and the bucket filled up to the burst. And a first report was taken to cover time before it came, of which its totals say nothing.

Change: own use counts from the first report on, also without a total; what a first report covers begins when it comes.

Ruled out: the exchange of usage between replicas, whose baselines are per edge.

--- a/system/src/main/java/poppynotch/pool/QuotaBuckets.java
+++ b/system/src/main/java/poppynotch/pool/QuotaBuckets.java
@@ -135,7 +135,9 @@
                         bucket.renewAllowance(coverage);
                     }
                 });
-        coveredUntilMs = Math.max(coveredUntilMs, coversUntilMs);
+        // Totals that nothing connects to earlier ones say nothing of the use before they came.
+        long knownFromMs = continuous ? coversUntilMs : nowMs;
+        coveredUntilMs = Math.max(coveredUntilMs, knownFromMs);
     }
 
     /** The length of the period up to a time that no update covers; 0 before the first update. */
--- a/system/src/main/java/poppynotch/router/QuotaUsageTracker.java
+++ b/system/src/main/java/poppynotch/router/QuotaUsageTracker.java
@@ -51,11 +51,12 @@
             return reportedAtMs >= 0;
         }
 
+        /** Totals less this edge's own use; only differences of two of them mean anything. */
         Map<String, Long> othersUse() {
-            Map<String, Long> othersUse = new HashMap<>();
-            totals.forEach(
-                    (tenant, total) ->
-                            othersUse.put(tenant, total - ownUse.getOrDefault(tenant, 0L)));
+            Map<String, Long> othersUse = new HashMap<>(totals);
+            // Also where there is no total yet: a replica that has just started counts only what
+            // is used from then on, and not what this edge reports as used before.
+            ownUse.forEach((tenant, own) -> othersUse.merge(tenant, -own, Long::sum));
             return othersUse;
         }
 
--- a/system/src/test/java/poppynotch/pool/QuotaBucketsTest.java
+++ b/system/src/test/java/poppynotch/pool/QuotaBucketsTest.java
@@ -159,6 +159,21 @@
         assertThat((double) granted(buckets, 5000, 5001, 100)).isAtMost(10_000.0 / 6 * 3 + 200);
     }
 
+    /** The totals of a replica that has just started say nothing of the use before they came. */
+    @Test
+    void doesNotRefillOthersSharesForPeriodBeforeFirstUpdateOfReplica() {
+        long[] granted = new long[2];
+        long[] firstCoversUntilMs = {2100, 3000};
+        for (int i = 0; i < granted.length; i++) {
+            QuotaBuckets buckets = bucketsOfOneOfSixEdges();
+            granted(buckets, 2000, 2001, 100);
+            buckets.onUpdate(3000, firstCoversUntilMs[i], Map.of(), 6, false);
+            buckets.onUpdate(3200, 3000, Map.of(), 6, true);
+            granted[i] = granted(buckets, 3200, 3201, 100);
+        }
+        assertThat(granted[0]).isEqualTo(granted[1]);
+    }
+
     /** Two of six edges do not report: they may serve on and use their shares. */
     @Test
     void reservesSharesOfEdgesThatDoNotReport() {
--- a/system/src/test/java/poppynotch/router/QuotaUsageTrackerTest.java
+++ b/system/src/test/java/poppynotch/router/QuotaUsageTrackerTest.java
@@ -82,6 +82,18 @@
         assertThat(reports).containsExactly("{} discontinuous", "{t=30}").inOrder();
     }
 
+    /**
+     * A replica that has just started has no totals of what was used before: this edge's use since
+     * its own start, which it has reported, is no use that others have given back.
+     */
+    @Test
+    void countsFromWhatWasReportedWhereReplicaHasNoTotalsYet() {
+        tracker.onConnected(0);
+        tracker.onReport(0, 0, 0, 6, List.of(), Map.of("t", 90_000L));
+        report(200, 0, 70, 90_020);
+        assertThat(reports).containsExactly("{} discontinuous", "{t=50}").inOrder();
+    }
+
     @Test
     void countsTenantMissingFromEarlierReportFromZero() {
         tracker.onConnected(0);
