--- a/register/src/main/java/poppynotch/register/ProposalRound.java
+++ b/register/src/main/java/poppynotch/register/ProposalRound.java
@@ -39,6 +39,16 @@
         void send(String acceptor, RegisterMessage message);
     }
 
+    /**
+     * What a proposer knows when it begins.
+     *
+     * @param proposer unique to this incarnation of this process
+     * @param acceptors the acceptor set as far as known; the rounds find newer ones
+     * @param highestBallot the highest ballot known so far
+     * @param seed of the random backoff
+     */
+    public record Start(long proposer, AcceptorSet acceptors, Ballot highestBallot, long seed) {}
+
     private enum Phase {
         PREPARING,
         ACCEPTING,
@@ -78,30 +88,23 @@
     /**
      * Creates a proposal; nothing is sent before {@link #start}.
      *
-     * @param acceptors the acceptor set as far as known; the rounds find newer ones
-     * @param highest the highest ballot known so far
-     * @param proposer unique to this incarnation of this process
      * @param deadlineMs when to give up, on the clock of {@link #start} and {@link #tick}
      * @param onOutcome called exactly once, from within a method of this class
-     * @param seed of the random backoff
      */
     public ProposalRound(
             ChangeFunction change,
-            AcceptorSet acceptors,
-            Ballot highest,
-            long proposer,
+            Start start,
             long deadlineMs,
             MessageSender sender,
-            Consumer<ProposalOutcome> onOutcome,
-            long seed) {
+            Consumer<ProposalOutcome> onOutcome) {
         this.change = change;
-        this.acceptors = acceptors;
-        this.highestBallot = highest;
-        this.proposer = proposer;
         this.deadlineMs = deadlineMs;
         this.sender = sender;
         this.onOutcome = onOutcome;
-        random = new SplittableRandom(seed);
+        acceptors = start.acceptors();
+        highestBallot = start.highestBallot();
+        proposer = start.proposer();
+        random = new SplittableRandom(start.seed());
     }
 
     /** Begins the first round. */
--- a/system/src/main/java/poppynotch/control/RegisterReplica.java
+++ b/system/src/main/java/poppynotch/control/RegisterReplica.java
@@ -199,13 +199,11 @@
             activeProposal =
                     new ProposalRound(
                             next.change(),
-                            acceptors,
-                            highestBallot,
-                            incarnation,
+                            new ProposalRound.Start(
+                                    incarnation, acceptors, highestBallot, random.nextLong()),
                             next.deadlineMs(),
                             host,
-                            outcome -> onProposalEnded(outcome, next),
-                            random.nextLong());
+                            outcome -> onProposalEnded(outcome, next));
             activeProposal.start(nowMs);
         }
     }
--- a/system/src/main/java/poppynotch/demo/LoopbackFleet.java
+++ b/system/src/main/java/poppynotch/demo/LoopbackFleet.java
@@ -33,7 +33,7 @@
     private static final int EDGE_SUBNET = 2;
     private static final int SERVER_SUBNET = 3;
     private static final DeploymentLimits LIMITS =
-            new DeploymentLimits(3000, 4000, 2000, 8000, 2000, 0.2, 50, 10_000, 0.1, 100_000, 8000);
+            new DeploymentLimits(8000, 0.2, 50, 10_000, 0.1, 100_000, 8000);
     private static final String CONFIGURATION =
             """
 {"Generation":1,"Routes":[
@@ -144,8 +144,6 @@
                 true,
                 data,
                 400,
-                1024,
-                256,
                 1,
                 LIMITS);
     }
--- a/system/src/main/java/poppynotch/settings/DeploymentLimits.java
+++ b/system/src/main/java/poppynotch/settings/DeploymentLimits.java
@@ -4,11 +4,7 @@
  * Limits that the deployment sets for the whole fleet, from the section {@code Bounds} of the
  * settings.
  *
- * @param contactMs {@code ContactMs}; checked to be a number, not used
- * @param ackMs {@code AckMs}; checked to be a number, not used
- * @param drainMs {@code DrainMs}; checked to be a number, not used
  * @param graceMs time from SIGTERM until the platform sends SIGKILL
- * @param configMs {@code ConfigMs}; checked to be a number, not used
  * @param retryBudgetRatio retries permitted for each request, over all edges
  * @param retryBudgetSlack further retries permitted in each window, over all edges
  * @param retryBudgetWindowMs length of the retry budget's window
@@ -18,11 +14,7 @@
  * @param quotaWindowMs length of the quota's window
  */
 public record DeploymentLimits(
-        long contactMs,
-        long ackMs,
-        long drainMs,
         long graceMs,
-        long configMs,
         double retryBudgetRatio,
         double retryBudgetSlack,
         long retryBudgetWindowMs,
--- a/system/src/main/java/poppynotch/settings/ProcessSettings.java
+++ b/system/src/main/java/poppynotch/settings/ProcessSettings.java
@@ -23,8 +23,6 @@
  * @param bootstrap whether the whole system starts for the first time
  * @param dataDir the folder for state; empty on a machine without a disk
  * @param heartbeatMs the interval at which servers renew their registration
- * @param maxDescriptors the most file descriptors that the process may have open
- * @param memoryMb memory of the process in MB
  * @param toleratedMachineFailures how many machines of control-plane replicas may fail at once
  * @param limits limits for the whole fleet
  */
@@ -40,8 +38,6 @@
         boolean bootstrap,
         Optional<Path> dataDir,
         long heartbeatMs,
-        int maxDescriptors,
-        int memoryMb,
         int toleratedMachineFailures,
         DeploymentLimits limits) {
 
--- a/system/src/main/java/poppynotch/settings/ProcessSettingsReader.java
+++ b/system/src/main/java/poppynotch/settings/ProcessSettingsReader.java
@@ -13,8 +13,6 @@
  */
 final class ProcessSettingsReader {
 
-    private static final int DEFAULT_DESCRIPTORS = 1024;
-    private static final int DEFAULT_MEMORY_MB = 256;
     private static final long DEFAULT_HEARTBEAT_MS = 1000;
     private static final int DEFAULT_TOLERATED_MACHINES = 1;
     private static final double MS_PER_S = 1000;
@@ -43,19 +41,13 @@
                 Boolean.TRUE.equals(config.get("Bootstrap")),
                 dataDir(),
                 (long) numberOr("HeartbeatMs", DEFAULT_HEARTBEAT_MS),
-                (int) numberOr("Limits.MaxFds", DEFAULT_DESCRIPTORS),
-                (int) numberOr("Limits.MemoryMb", DEFAULT_MEMORY_MB),
                 (int) numberOr("FaultTolerance.Machines", DEFAULT_TOLERATED_MACHINES),
                 limits());
     }
 
     private DeploymentLimits limits() {
         return new DeploymentLimits(
-                (long) numberOr("Bounds.ContactMs", 3000),
-                (long) numberOr("Bounds.AckMs", 4000),
-                (long) numberOr("Bounds.DrainMs", 2000),
                 millisOfSecondsOr("Bounds.GraceS", 8),
-                (long) numberOr("Bounds.ConfigMs", 2000),
                 numberOr("Bounds.RetryBudgetRatio", 0.2),
                 numberOr("Bounds.BudgetSlack", 10),
                 millisOfSecondsOr("Bounds.BudgetWindowS", 10),
