--- a/system/src/test/java/poppynotch/router/ClientConnectionTest.java
+++ b/system/src/test/java/poppynotch/router/ClientConnectionTest.java
@@ -98,6 +98,19 @@
                 .startsWith("HTTP/1.1 503");
     }
 
+    /** The next request on the same connection is routed by the configuration in force then. */
+    @Test
+    void routesByNextConfigurationFromItsFirstMomentOn() {
+        assertThat(send(post("/added/x", "", ""))).startsWith("HTTP/1.1 404");
+        String next =
+                CONFIG.replace("\"Generation\":1", "\"Generation\":2")
+                        .replace("\"/open/\"", "\"/added/\"");
+        ConfigResult config = ConfigReader.read(next.getBytes(StandardCharsets.UTF_8));
+        edge.fleetState().configure(0, ((ConfigResult.Valid) config).config());
+        assertThat(send(post("/added/x", "", ""))).startsWith("HTTP/1.1 503");
+        assertThat(send(post("/open/x", "", ""))).startsWith("HTTP/1.1 404");
+    }
+
     @Test
     void rejectsMissingOrUnknownApiKey() {
         assertThat(send(post("/r/x", "", ""))).startsWith("HTTP/1.1 401");
