Review: an acceptor's vote that never returns goes first

Cause: while the configuration changes steadily, an acceptor that lost its disk is rejected at each try of its recovery. The next loss that is allowed then takes the quorum for good: control takes no change and answers no read.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,8 +4,8 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 classes=$root/review/target/classes
-if [ ! -f "$classes/Descriptors.class" ] || [ ! -f "$root/target/poppynotch.jar" ]; then
+if [ ! -f "$classes/EarlyAnswer.class" ] || [ ! -f "$root/target/poppynotch.jar" ]; then
     echo "the program or the stand-ins are not built" >&2
     exit 2
 fi
-exec java -Xmx256m -cp "$classes" Descriptors "$root" "$here"
+exec java -Xmx256m -cp "$classes" EarlyAnswer "$root" "$here"
--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -158,7 +158,7 @@
     }
 
     /** Settings as the pages give them for a small site. */
-    private String settings(String name, String ip, boolean core) {
+    private String settings(String name, String ip, boolean core, boolean bootstrap) {
         String seeds =
                 "\"" + coreIp(1) + ":" + controlPort + "\",\"" + coreIp(2) + ":" + controlPort
                         + "\",\"" + coreIp(3) + ":" + controlPort + "\"";
@@ -168,7 +168,7 @@
                         + (core ? "control_plane" : "edge") + "\"]\nIp = \"" + ip
                         + "\"\nZone = \"sala-norte\"\nRegion = \"santiago\"\nEphemeralPorts = ["
                         + peerPort + "," + (peerPort + 1) + "]\nSeeds = [" + seeds
-                        + "]\nBootstrap = true\nCountsForQuorum = " + core
+                        + "]\nBootstrap = " + bootstrap + "\nCountsForQuorum = " + core
                         + "\nDiscovery = \"registration\"\nEntry = \"vip\"\nHeartbeatMs = 1200\n"
                         + "Contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\","
                         + "\"engine\",\"stream\",\"tenants\",\"quota\"]\n";
@@ -194,9 +194,10 @@
         return text;
     }
 
-    private Process start(String name, String ip, boolean core) throws IOException {
+    private Process start(String name, String ip, boolean core, boolean bootstrap)
+            throws IOException {
         Path file = folder.resolve(name + ".toml");
-        Files.writeString(file, settings(name, ip, core));
+        Files.writeString(file, settings(name, ip, core, bootstrap));
         List<String> command = new ArrayList<>();
         // The limit of the settings (MaxFds), as the platform sets it.
         command.addAll(List.of("sh", "-c", "ulimit -n 4100 && exec \"$@\"", "sh"));
@@ -207,7 +208,8 @@
                 .retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         builder.environment().put("POPPYNOTCH_SETTINGS", file.toString());
         builder.redirectErrorStream(true);
-        builder.redirectOutput(folder.resolve(name + ".log").toFile());
+        builder.redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
         Process process = builder.start();
         log("platform: started %s, pid %d", name, process.pid());
         return process;
@@ -215,13 +217,38 @@
 
     void startCores(int count) throws IOException {
         for (int i = 1; i <= count; i++) {
-            cores.add(start("core-" + i, coreIp(i), true));
+            cores.add(start("core-" + i, coreIp(i), true, true));
         }
     }
 
     void startEdges(int count) throws IOException {
         for (int i = 1; i <= count; i++) {
-            edges.add(start("edge-" + i, edgeIp(i), false));
+            edges.add(start("edge-" + i, edgeIp(i), false, true));
+        }
+    }
+
+    /** A core process is killed and its disk is lost; after a while it starts with an empty one. */
+    void loseDisk(int core, long downMs) throws IOException {
+        Process process = cores.get(core - 1);
+        signal(process, "KILL");
+        try {
+            process.waitFor();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+        Path disk = folder.resolve("core-" + core);
+        delete(disk);
+        Files.createDirectories(disk);
+        log("platform: the disk of core-%d is lost", core);
+        sleep(downMs);
+        cores.set(core - 1, start("core-" + core, coreIp(core), true, false));
+    }
+
+    private static void delete(Path top) throws IOException {
+        try (Stream<Path> files = Files.walk(top)) {
+            for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(path);
+            }
         }
     }
 
@@ -319,11 +346,7 @@
                 throw new IOException(e);
             }
         }
-        try (Stream<Path> files = Files.walk(folder)) {
-            for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(path);
-            }
-        }
+        delete(folder);
     }
 
     // ---- HTTP ----
