Log each round of a lost vote's recovery, and when the vote is back

Change: a replica logs when the recovery begins and ends, and for each failed round its ballot, who promised, who rejected it for which ballot, and the highest ballot known.

--- a/register/src/main/java/poppynotch/register/AcceptorRecovery.java
+++ b/register/src/main/java/poppynotch/register/AcceptorRecovery.java
@@ -1,6 +1,10 @@
 package poppynotch.register;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Recovery of an acceptor that has lost its disk, and with it its promises and accepted value.
@@ -17,13 +21,28 @@
     /** A round without enough promises is restarted after this time, as messages get lost. */
     private static final long ROUND_TIMEOUT_MS = 500;
 
+    /**
+     * A round that ended without enough promises.
+     *
+     * @param round counts the rounds of this recovery from 1
+     * @param promisedBy the acceptors that promised its ballot
+     * @param rejectedBy the acceptors that had promised a higher ballot, with that ballot; those in
+     *     neither have not replied
+     */
+    public record FailedRound(
+            int round, Ballot ballot, Set<String> promisedBy, Map<String, Ballot> rejectedBy) {}
+
     private final String self;
     private final long proposer;
     private final ProposalRound.MessageSender sender;
+    private final Consumer<FailedRound> onRoundFailed;
     private final PromiseTally promises = new PromiseTally();
+    private final Map<String, Ballot> rejections = new HashMap<>();
     private AcceptorSet acceptors;
     private Ballot ballot;
+    private Ballot roundBallot;
     private long roundDeadlineMs;
+    private int rounds;
 
     /**
      * Creates a recovery; nothing is sent before {@link #tick}.
@@ -32,26 +51,45 @@
      * @param acceptors the acceptor set as far as known; its rounds find newer ones
      * @param highest the highest ballot known so far
      * @param proposer unique to this incarnation of this process
+     * @param onRoundFailed called from within {@link #tick}, for the log
      */
     public AcceptorRecovery(
             String self,
             AcceptorSet acceptors,
             Ballot highest,
             long proposer,
-            ProposalRound.MessageSender sender) {
+            ProposalRound.MessageSender sender,
+            Consumer<FailedRound> onRoundFailed) {
         this.self = self;
         this.acceptors = acceptors;
         this.ballot = highest;
         this.proposer = proposer;
         this.sender = sender;
+        this.onRoundFailed = onRoundFailed;
+    }
+
+    /** How many rounds have begun. */
+    public int rounds() {
+        return rounds;
     }
 
     /** Begins a round if there is none yet or the last one has timed out. */
     public void tick(long nowMs) {
         if (nowMs >= roundDeadlineMs) {
+            if (rounds > 0) {
+                onRoundFailed.accept(
+                        new FailedRound(
+                                rounds,
+                                roundBallot,
+                                Set.copyOf(promises.acceptors()),
+                                Map.copyOf(rejections)));
+            }
+            rounds++;
             roundDeadlineMs = nowMs + ROUND_TIMEOUT_MS;
             ballot = ballot.next(proposer);
+            roundBallot = ballot;
             promises.clear();
+            rejections.clear();
             acceptors.voters().forEach(this::sendPrepare);
         }
     }
@@ -70,6 +108,7 @@
     public Optional<AcceptorState> onReply(String from, RegisterMessage reply) {
         if (reply instanceof RegisterMessage.Rejected rejected) {
             ballot = Ballot.max(ballot, rejected.promised());
+            rejections.put(from, rejected.promised());
             return Optional.empty();
         }
         if (reply instanceof RegisterMessage.Promise promise && promise.ballot().equals(ballot)) {
--- a/system/src/main/java/poppynotch/control/RegisterReplica.java
+++ b/system/src/main/java/poppynotch/control/RegisterReplica.java
@@ -8,6 +8,8 @@
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import poppynotch.register.Acceptor;
 import poppynotch.register.AcceptorRecovery;
 import poppynotch.register.AcceptorSet;
@@ -31,6 +33,8 @@
  */
 public final class RegisterReplica {
 
+    private static final Logger LOG = LoggerFactory.getLogger(RegisterReplica.class);
+
     /** A value that was chosen under a ballot. */
     public record ChosenValue(Ballot ballot, RegisterValue value) {}
 
@@ -81,6 +85,9 @@
     /** The recovery of the acceptor's vote; null when none is in progress. */
     private AcceptorRecovery recovery;
 
+    /** When the recovery in progress was begun. */
+    private long recoveryStartedMs;
+
     private AcceptorSet acceptors;
     private Ballot highestBallot = Ballot.ZERO;
 
@@ -232,7 +239,7 @@
             highestBallot = Ballot.max(highestBallot, rejected.promised());
         }
         if (recovery != null) {
-            recovery.onReply(from, message).ifPresent(this::onVoteRecovered);
+            recovery.onReply(from, message).ifPresent(state -> onVoteRecovered(nowMs, state));
         }
         if (activeProposal != null) {
             activeProposal.onReply(nowMs, from, message);
@@ -260,7 +267,15 @@
                 });
     }
 
-    private void onVoteRecovered(AcceptorState state) {
+    private void onVoteRecovered(long nowMs, AcceptorState state) {
+        LOG.info(
+                "Acceptor {}: no vote -> voting, cause=promises of the others, ballot={},"
+                        + " accepted={}, rounds={}, durationMs={}",
+                self,
+                state.promised(),
+                state.accepted(),
+                recovery.rounds(),
+                nowMs - recoveryStartedMs);
         recovery = null;
         acceptor.resumeFrom(state);
         acceptors = state.value().acceptors();
@@ -333,7 +348,7 @@
     public void tick(long nowMs) {
         if (!acceptor.mayVote() && !acceptors.members().isEmpty()) {
             if (recovery == null) {
-                recovery = new AcceptorRecovery(self, acceptors, highestBallot, incarnation, host);
+                startRecovery(nowMs);
             }
             recovery.tick(nowMs);
         }
@@ -344,6 +359,36 @@
         repair(nowMs);
     }
 
+    private void startRecovery(long nowMs) {
+        recoveryStartedMs = nowMs;
+        recovery =
+                new AcceptorRecovery(
+                        self,
+                        acceptors,
+                        highestBallot,
+                        incarnation,
+                        host,
+                        this::logFailedRecoveryRound);
+        LOG.info(
+                "Acceptor {}: disk lost -> no vote, cause=no state on disk, acceptors={},"
+                        + " highestBallot={}",
+                self,
+                acceptors,
+                highestBallot);
+    }
+
+    private void logFailedRecoveryRound(AcceptorRecovery.FailedRound failed) {
+        LOG.info(
+                "Acceptor {}: recovery round {} failed, ballot={}, promisedBy={}, rejectedBy={},"
+                        + " highestBallot={}",
+                self,
+                failed.round(),
+                failed.ballot(),
+                failed.promisedBy(),
+                failed.rejectedBy(),
+                highestBallot);
+    }
+
     /**
      * Reads the register if no value is known, or if acceptors have accepted a value that nobody
      * has announced. The read starts after a random delay, so that replicas do not start it all at
