Recover a lost vote while the configuration changes, in half of CatchUpS

Cause: the recovery of a vote used a rejection's ballot only at its next tick of 500 ms, plus one, and no other message's ballot; changes were above that each time. A rejection also dropped the round's promises. With the vote still missing the next loss left two replicas without a vote, each of which needs the other's promise.

Evidence: by the log of rounds, 12 of 12 rejected by both others within milliseconds while changes flowed; no message was late.

Change: all rounds of a replica take ballots from one BallotGenerator, above all that it has issued or seen; a recovery begins 1,024 above that, sends its ballot again, goes on within tens of ms after a rejection, keeps the promises of its round, and begins anew with an acceptor set that becomes known. Proposals begin above all ballots seen too. As before, the promises are of one ballot and of as many acceptors, so safety is the same.

--- a/register/src/main/java/poppynotch/register/AcceptorRecovery.java
+++ b/register/src/main/java/poppynotch/register/AcceptorRecovery.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 
 /**
@@ -11,15 +12,39 @@
  *
  * <p>It collects promises of a new ballot from other acceptors until they intersect every quorum
  * that the lost votes may have been part of. Then no lower ballot can complete with those votes,
- * and whatever was chosen with them is known.
+ * and whatever was chosen with them is known. All promises must be of one ballot: an acceptor that
+ * has promised only a lower one may still accept what another one's promise has overtaken.
+ *
+ * <p>Proposers raise the ballots while this goes on. A round therefore begins well above the
+ * highest ballot that this replica knows ({@link Settings#ballotLead}), sends its ballot again to
+ * acceptors that have not replied, and is followed by the next round soon after a rejection.
  *
  * <p>A state machine without I/O and without threads; the owner calls it from one thread, passes
  * the time, and discards it once {@link #onReply} has returned a state.
  */
 public final class AcceptorRecovery {
 
-    /** A round without enough promises is restarted after this time, as messages get lost. */
-    private static final long ROUND_TIMEOUT_MS = 500;
+    /**
+     * How rounds are numbered and repeated.
+     *
+     * @param ballotLead how many ballots a round skips, so that proposers who have not seen its
+     *     ballot yet stay below it
+     * @param resendIntervalMs time after which an acceptor without a reply is sent the ballot again
+     * @param roundTimeoutMs time after which a round without a rejection is followed by the next
+     * @param initialBackoffMs upper bound of the random backoff after the first rejected round; it
+     *     doubles with each further one
+     * @param maxBackoffMs the highest upper bound of the backoff
+     */
+    public record Settings(
+            long ballotLead,
+            long resendIntervalMs,
+            long roundTimeoutMs,
+            int initialBackoffMs,
+            int maxBackoffMs) {
+
+        /** The settings of a replica in service. */
+        public static final Settings DEFAULT = new Settings(1024, 150, 1000, 20, 160);
+    }
 
     /**
      * A round that ended without enough promises.
@@ -33,39 +58,51 @@
             int round, Ballot ballot, Set<String> promisedBy, Map<String, Ballot> rejectedBy) {}
 
     private final String self;
-    private final long proposer;
+    private final BallotGenerator ballots;
     private final ProposalRound.MessageSender sender;
+    private final Settings settings;
+    private final SplittableRandom random;
     private final Consumer<FailedRound> onRoundFailed;
+
     private final PromiseTally promises = new PromiseTally();
     private final Map<String, Ballot> rejections = new HashMap<>();
-    private AcceptorSet acceptors;
-    private Ballot ballot;
-    private Ballot roundBallot;
-    private long roundDeadlineMs;
+
+    /** The acceptor set that the owner passed last. */
+    private AcceptorSet knownAcceptors = AcceptorSet.of(Set.of());
+
+    /** The acceptor set of the round, which its promises may have advanced. */
+    private AcceptorSet acceptors = knownAcceptors;
+
+    /** The ballot of the round. */
+    private Ballot ballot = Ballot.ZERO;
+
     private int rounds;
+    private int maxBackoffMs;
+    private long nextRoundMs = Long.MIN_VALUE;
+    private long nextResendMs;
 
     /**
      * Creates a recovery; nothing is sent before {@link #tick}.
      *
      * @param self address of the acceptor that recovers
-     * @param acceptors the acceptor set as far as known; its rounds find newer ones
-     * @param highest the highest ballot known so far
-     * @param proposer unique to this incarnation of this process
-     * @param onRoundFailed called from within {@link #tick}, for the log
+     * @param ballots the ballots of this replica
+     * @param seed of the random backoff
+     * @param onRoundFailed called from within {@link #tick}
      */
     public AcceptorRecovery(
             String self,
-            AcceptorSet acceptors,
-            Ballot highest,
-            long proposer,
+            BallotGenerator ballots,
             ProposalRound.MessageSender sender,
+            Settings settings,
+            long seed,
             Consumer<FailedRound> onRoundFailed) {
         this.self = self;
-        this.acceptors = acceptors;
-        this.ballot = highest;
-        this.proposer = proposer;
+        this.ballots = ballots;
         this.sender = sender;
+        this.settings = settings;
         this.onRoundFailed = onRoundFailed;
+        random = new SplittableRandom(seed);
+        maxBackoffMs = settings.initialBackoffMs();
     }
 
     /** How many rounds have begun. */
@@ -73,52 +110,81 @@
         return rounds;
     }
 
-    /** Begins a round if there is none yet or the last one has timed out. */
-    public void tick(long nowMs) {
-        if (nowMs >= roundDeadlineMs) {
-            if (rounds > 0) {
-                onRoundFailed.accept(
-                        new FailedRound(
-                                rounds,
-                                roundBallot,
-                                Set.copyOf(promises.acceptors()),
-                                Map.copyOf(rejections)));
-            }
-            rounds++;
-            roundDeadlineMs = nowMs + ROUND_TIMEOUT_MS;
-            ballot = ballot.next(proposer);
-            roundBallot = ballot;
-            promises.clear();
-            rejections.clear();
-            acceptors.voters().forEach(this::sendPrepare);
+    /**
+     * Begins the next round or sends the ballot of this one again, as far as due; to be called at
+     * short intervals.
+     *
+     * @param known the acceptor set as far as this replica knows; a round finds newer ones
+     */
+    public void tick(long nowMs, AcceptorSet known) {
+        boolean setChanged = !known.equals(knownAcceptors);
+        knownAcceptors = known;
+        if (setChanged || nowMs >= nextRoundMs) {
+            startRound(nowMs);
+        } else if (nowMs >= nextResendMs) {
+            sendToMissing(nowMs);
+        }
+    }
+
+    private void startRound(long nowMs) {
+        if (rounds > 0) {
+            onRoundFailed.accept(
+                    new FailedRound(
+                            rounds,
+                            ballot,
+                            Set.copyOf(promises.acceptors()),
+                            Map.copyOf(rejections)));
         }
+        rounds++;
+        acceptors = knownAcceptors;
+        ballot = ballots.next(settings.ballotLead());
+        promises.clear();
+        rejections.clear();
+        nextRoundMs = nowMs + settings.roundTimeoutMs();
+        sendToMissing(nowMs);
     }
 
-    private void sendPrepare(String acceptor) {
-        if (!acceptor.equals(self)) {
-            sender.send(acceptor, new RegisterMessage.Prepare(ballot));
+    /** Sends the ballot to the acceptors that have not replied to it. */
+    private void sendToMissing(long nowMs) {
+        nextResendMs = nowMs + settings.resendIntervalMs();
+        for (String acceptor : acceptors.voters()) {
+            boolean replied = promises.contains(acceptor) || rejections.containsKey(acceptor);
+            if (!replied && !acceptor.equals(self)) {
+                sender.send(acceptor, new RegisterMessage.Prepare(ballot));
+            }
         }
     }
 
     /**
-     * Handles an acceptor's reply.
+     * Handles an acceptor's reply; replies to earlier rounds are ignored.
      *
      * @return the recovered state, once enough acceptors have promised
      */
-    public Optional<AcceptorState> onReply(String from, RegisterMessage reply) {
+    public Optional<AcceptorState> onReply(long nowMs, String from, RegisterMessage reply) {
         if (reply instanceof RegisterMessage.Rejected rejected) {
-            ballot = Ballot.max(ballot, rejected.promised());
-            rejections.put(from, rejected.promised());
-            return Optional.empty();
-        }
-        if (reply instanceof RegisterMessage.Promise promise && promise.ballot().equals(ballot)) {
+            onRejected(nowMs, from, rejected);
+        } else if (reply instanceof RegisterMessage.Promise promise
+                && promise.ballot().equals(ballot)) {
             promises.add(from, promise);
-            return evaluatePromises();
+            return evaluatePromises(nowMs);
         }
         return Optional.empty();
     }
 
-    private Optional<AcceptorState> evaluatePromises() {
+    /** The promises of others still count: they may be enough without the one who rejects. */
+    private void onRejected(long nowMs, String from, RegisterMessage.Rejected rejected) {
+        ballots.observe(rejected.promised());
+        if (!rejected.ballot().equals(ballot)) {
+            return;
+        }
+        if (rejections.isEmpty()) {
+            nextRoundMs = Math.min(nextRoundMs, nowMs + 1 + random.nextInt(maxBackoffMs));
+            maxBackoffMs = Math.min(2 * maxBackoffMs, settings.maxBackoffMs());
+        }
+        rejections.put(from, rejected.promised());
+    }
+
+    private Optional<AcceptorState> evaluatePromises(long nowMs) {
         if (!acceptors.intersectsQuorumsOf(self, promises.acceptors())) {
             return Optional.empty();
         }
@@ -127,10 +193,8 @@
         if (!newestAcceptors.equals(acceptors)) {
             // The promises reveal an acceptor set that succeeded the one known so far.
             acceptors = newestAcceptors;
-            acceptors.voters().stream()
-                    .filter(acceptor -> !promises.contains(acceptor))
-                    .forEach(this::sendPrepare);
-            return evaluatePromises();
+            sendToMissing(nowMs);
+            return evaluatePromises(nowMs);
         }
         return Optional.of(new AcceptorState(ballot, newest.accepted(), newest.value()));
     }
--- a/register/src/main/java/poppynotch/register/ProposalRound.java
+++ b/register/src/main/java/poppynotch/register/ProposalRound.java
@@ -42,12 +42,11 @@
     /**
      * What a proposer knows when it begins.
      *
-     * @param proposer unique to this incarnation of this process
+     * @param ballots the ballots of this replica: each round begins above all that it has seen
      * @param acceptors the acceptor set as far as known; the rounds find newer ones
-     * @param highestBallot the highest ballot known so far
      * @param seed of the random backoff
      */
-    public record Start(long proposer, AcceptorSet acceptors, Ballot highestBallot, long seed) {}
+    public record Start(BallotGenerator ballots, AcceptorSet acceptors, long seed) {}
 
     private enum Phase {
         PREPARING,
@@ -57,7 +56,7 @@
     }
 
     private final ChangeFunction change;
-    private final long proposer;
+    private final BallotGenerator ballots;
     private final MessageSender sender;
     private final long deadlineMs;
     private final Consumer<ProposalOutcome> onOutcome;
@@ -70,7 +69,9 @@
 
     private int maxBackoffMs = INITIAL_BACKOFF_MS;
 
-    private Ballot highestBallot;
+    /** The ballot of the latest round. */
+    private Ballot ballot = Ballot.ZERO;
+
     private AcceptorSet acceptors;
     private final PromiseTally promises = new PromiseTally();
     private final Set<String> acceptedBy = new HashSet<>();
@@ -102,8 +103,7 @@
         this.sender = sender;
         this.onOutcome = onOutcome;
         acceptors = start.acceptors();
-        highestBallot = start.highestBallot();
-        proposer = start.proposer();
+        ballots = start.ballots();
         random = new SplittableRandom(start.seed());
     }
 
@@ -112,11 +112,6 @@
         startRound(nowMs);
     }
 
-    /** The highest ballot used or seen so far: the next proposal begins above it. */
-    public Ballot highestBallot() {
-        return highestBallot;
-    }
-
     /** Whether the outcome was reported. */
     public boolean hasEnded() {
         return phase == Phase.ENDED;
@@ -146,14 +141,14 @@
     }
 
     private void onPromise(long nowMs, String from, RegisterMessage.Promise promise) {
-        if (phase == Phase.PREPARING && promise.ballot().equals(highestBallot)) {
+        if (phase == Phase.PREPARING && promise.ballot().equals(ballot)) {
             promises.add(from, promise);
             evaluatePromises(nowMs);
         }
     }
 
     private void onAccepted(long nowMs, String from, RegisterMessage.Accepted accepted) {
-        if (phase == Phase.ACCEPTING && accepted.ballot().equals(highestBallot)) {
+        if (phase == Phase.ACCEPTING && accepted.ballot().equals(ballot)) {
             acceptedBy.add(from);
             evaluateAcceptances(nowMs);
         }
@@ -161,8 +156,8 @@
 
     private void onRejected(long nowMs, RegisterMessage.Rejected rejected) {
         boolean inRound = phase == Phase.PREPARING || phase == Phase.ACCEPTING;
-        if (inRound && rejected.ballot().equals(highestBallot)) {
-            highestBallot = Ballot.max(highestBallot, rejected.promised());
+        if (inRound && rejected.ballot().equals(ballot)) {
+            ballots.observe(rejected.promised());
             phase = Phase.BACKING_OFF;
             phaseDeadlineMs = nowMs + 1 + random.nextInt(maxBackoffMs);
             maxBackoffMs = Math.min(2 * maxBackoffMs, MAX_BACKOFF_MS);
@@ -170,7 +165,7 @@
     }
 
     private void startRound(long nowMs) {
-        highestBallot = highestBallot.next(proposer);
+        ballot = ballots.next();
         promises.clear();
         phase = Phase.PREPARING;
         phaseDeadlineMs = nowMs + PHASE_TIMEOUT_MS;
@@ -178,7 +173,7 @@
     }
 
     private void sendPrepare(String acceptor) {
-        sender.send(acceptor, new RegisterMessage.Prepare(highestBallot));
+        sender.send(acceptor, new RegisterMessage.Prepare(ballot));
     }
 
     private void evaluatePromises(long nowMs) {
@@ -234,8 +229,7 @@
         Set<String> voters = new HashSet<>(acceptors.voters());
         voters.addAll(value.acceptors().voters());
         voters.forEach(
-                acceptor ->
-                        sender.send(acceptor, new RegisterMessage.Accept(highestBallot, value)));
+                acceptor -> sender.send(acceptor, new RegisterMessage.Accept(ballot, value)));
     }
 
     private void evaluateAcceptances(long nowMs) {
@@ -246,7 +240,7 @@
             completesFoundValue = false;
             startRound(nowMs);
         } else {
-            finish(new ProposalOutcome.Chosen(highestBallot, proposedValue, proposesReplacement));
+            finish(new ProposalOutcome.Chosen(ballot, proposedValue, proposesReplacement));
         }
     }
 
--- a/system/src/main/java/poppynotch/app/ExploreCommand.java
+++ b/system/src/main/java/poppynotch/app/ExploreCommand.java
@@ -31,6 +31,13 @@
     @Parameter(names = "--fault", description = "a fault to be seeded")
     private SeededDefect defect = SeededDefect.NONE;
 
+    @Parameter(
+            names = "--losses-in-turn",
+            description =
+                    "only losses of disks, each as soon as the last one is over, while changes"
+                            + " never pause")
+    private boolean lossesInTurn;
+
     @Parameter(names = "--shorten", description = "leave out what a finding does not need")
     private boolean shorten;
 
@@ -51,7 +58,8 @@
 
     /** Runs one schedule; called by several threads at once. */
     private void runSeed(long seed) {
-        FaultSchedule schedule = FaultSchedule.draw(seed);
+        FaultSchedule schedule =
+                lossesInTurn ? FaultSchedule.drawLossesInTurn(seed) : FaultSchedule.draw(seed);
         Optional<String> finding = SimulationRun.run(schedule, defect);
         if (finding.isPresent() && findingCount.incrementAndGet() <= MAX_PRINTED_FINDINGS) {
             print(finding.get(), schedule);
--- a/system/src/main/java/poppynotch/control/ControlPlaneNode.java
+++ b/system/src/main/java/poppynotch/control/ControlPlaneNode.java
@@ -10,6 +10,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import poppynotch.config.DocumentCodec;
+import poppynotch.register.AcceptorRecovery;
 import poppynotch.register.AcceptorSet;
 import poppynotch.register.AcceptorState;
 import poppynotch.register.ChangeFunction;
@@ -65,6 +66,7 @@
      * @param persistedState the acceptor's state as read from disk, if there is one
      * @param firstIncarnation whether that state was created just now, so that no earlier process
      *     has granted anything in its name
+     * @param recovery how the acceptor's vote is recovered where that state is lost
      */
     public record Config(
             String self,
@@ -73,7 +75,8 @@
             AcceptorSetPlanner acceptorSetPlanner,
             long serverHeartbeatMs,
             Optional<AcceptorState> persistedState,
-            boolean firstIncarnation) {}
+            boolean firstIncarnation,
+            AcceptorRecovery.Settings recovery) {}
 
     /**
      * Receives the result of a read of the configuration: its JSON, or empty if the newest version
@@ -138,6 +141,7 @@
                         config.incarnation(),
                         config.persistedState(),
                         AcceptorSet.of(List.of()),
+                        config.recovery(),
                         storage,
                         new RegisterHost());
         quorumLease = new QuorumLease(register, contact, clock);
@@ -348,6 +352,11 @@
 
     // ---- for checks by the simulation ----
 
+    /** Whether this replica's acceptor has a vote: not after its disk was lost, until recovered. */
+    public boolean mayVote() {
+        return register.mayVote();
+    }
+
     /** The newest value that this replica knows to be chosen. */
     public Optional<RegisterReplica.ChosenValue> chosenValue() {
         return register.chosen();
--- a/system/src/main/java/poppynotch/control/ControlPlaneServer.java
+++ b/system/src/main/java/poppynotch/control/ControlPlaneServer.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import poppynotch.register.AcceptorRecovery;
 import poppynotch.register.AcceptorSet;
 import poppynotch.register.AcceptorState;
 import poppynotch.register.AcceptorStateStore;
@@ -134,7 +135,8 @@
                         new AcceptorSetPlanner(settings.toleratedMachineFailures()),
                         settings.heartbeatMs(),
                         persisted,
-                        firstIncarnation);
+                        firstIncarnation,
+                        AcceptorRecovery.Settings.DEFAULT);
         QuorumContact contact = new QuorumContact(self);
         node =
                 new ControlPlaneNode<>(
--- a/system/src/main/java/poppynotch/control/RegisterReplica.java
+++ b/system/src/main/java/poppynotch/control/RegisterReplica.java
@@ -15,6 +15,7 @@
 import poppynotch.register.AcceptorSet;
 import poppynotch.register.AcceptorState;
 import poppynotch.register.Ballot;
+import poppynotch.register.BallotGenerator;
 import poppynotch.register.ChangeFunction;
 import poppynotch.register.ProposalOutcome;
 import poppynotch.register.ProposalRound;
@@ -72,7 +73,7 @@
     private static final long NO_READ_SCHEDULED = Long.MIN_VALUE;
 
     private final String self;
-    private final long incarnation;
+    private final AcceptorRecovery.Settings recoverySettings;
     private final Host host;
     private final AcceptorStorage storage;
     private final Acceptor acceptor;
@@ -89,7 +90,7 @@
     private long recoveryStartedMs;
 
     private AcceptorSet acceptors;
-    private Ballot highestBallot = Ballot.ZERO;
+    private final BallotGenerator ballots;
 
     /** The newest value known to be chosen; null if none is known. */
     private ChosenValue chosen;
@@ -109,25 +110,26 @@
      * @param incarnation differs for each start of the process; part of its ballots and the seed of
      *     its random delays
      * @param acceptors the acceptor set as far as known at the start; its members may be empty
+     * @param recoverySettings how a lost vote is recovered
      */
     public RegisterReplica(
             String self,
             long incarnation,
             Optional<AcceptorState> persisted,
             AcceptorSet acceptors,
+            AcceptorRecovery.Settings recoverySettings,
             AcceptorStorage storage,
             Host host) {
         this.self = self;
-        this.incarnation = incarnation;
+        this.recoverySettings = recoverySettings;
         this.storage = storage;
         this.host = host;
         this.acceptors = persisted.map(state -> state.value().acceptors()).orElse(acceptors);
         acceptor = new Acceptor(persisted);
-        persisted.ifPresent(
-                state -> {
-                    highestBallot = state.promised();
-                    persistedBallot = state.accepted();
-                });
+        ballots =
+                new BallotGenerator(
+                        incarnation, persisted.map(AcceptorState::promised).orElse(Ballot.ZERO));
+        persisted.ifPresent(state -> persistedBallot = state.accepted());
         random = new SplittableRandom(incarnation);
     }
 
@@ -168,9 +170,9 @@
         return acceptor.mayVote() ? persistedBallot : Ballot.ZERO;
     }
 
-    /** The highest ballot that this process has promised or has seen in a message. */
+    /** The highest ballot that this process has promised, has issued or has seen in a message. */
     public Ballot highestBallot() {
-        return highestBallot;
+        return ballots.highest();
     }
 
     /** Whether this process's acceptor has a state to vote from. */
@@ -206,8 +208,7 @@
             activeProposal =
                     new ProposalRound(
                             next.change(),
-                            new ProposalRound.Start(
-                                    incarnation, acceptors, highestBallot, random.nextLong()),
+                            new ProposalRound.Start(ballots, acceptors, random.nextLong()),
                             next.deadlineMs(),
                             host,
                             outcome -> onProposalEnded(outcome, next));
@@ -216,7 +217,6 @@
     }
 
     private void onProposalEnded(ProposalOutcome outcome, PendingChange change) {
-        highestBallot = Ballot.max(highestBallot, activeProposal.highestBallot());
         if (outcome instanceof ProposalOutcome.Chosen won) {
             onValueChosen(new ChosenValue(won.ballot(), won.value()), true);
         }
@@ -230,16 +230,15 @@
         if (message instanceof RegisterMessage.Prepare
                 || message instanceof RegisterMessage.Accept) {
             acceptor.onRequest(message).ifPresent(answer -> sendAnswer(from, answer));
-            acceptor.state()
-                    .ifPresent(
-                            state -> highestBallot = Ballot.max(highestBallot, state.promised()));
+            acceptor.state().ifPresent(state -> ballots.observe(state.promised()));
             return;
         }
         if (message instanceof RegisterMessage.Rejected rejected) {
-            highestBallot = Ballot.max(highestBallot, rejected.promised());
+            ballots.observe(rejected.promised());
         }
         if (recovery != null) {
-            recovery.onReply(from, message).ifPresent(state -> onVoteRecovered(nowMs, state));
+            recovery.onReply(nowMs, from, message)
+                    .ifPresent(state -> onVoteRecovered(nowMs, state));
         }
         if (activeProposal != null) {
             activeProposal.onReply(nowMs, from, message);
@@ -279,7 +278,7 @@
         recovery = null;
         acceptor.resumeFrom(state);
         acceptors = state.value().acceptors();
-        highestBallot = Ballot.max(highestBallot, state.promised());
+        ballots.observe(state.promised());
         persist(state, () -> {});
     }
 
@@ -292,7 +291,7 @@
         if (chosen != null && learned.value().revision() < chosen.value().revision()) {
             return;
         }
-        highestBallot = Ballot.max(highestBallot, learned.ballot());
+        ballots.observe(learned.ballot());
         boolean newer = chosen == null || learned.value().revision() > chosen.value().revision();
         if (!newer && learned.ballot().compareTo(chosen.ballot()) <= 0) {
             return;
@@ -333,7 +332,7 @@
      * @param knownAcceptors the acceptor set as far as the peer knows
      */
     public void onPeerState(Ballot accepted, Ballot promised, AcceptorSet knownAcceptors) {
-        highestBallot = Ballot.max(highestBallot, promised);
+        ballots.observe(promised);
         if (acceptors.members().isEmpty() && !knownAcceptors.members().isEmpty()) {
             acceptors = knownAcceptors;
         }
@@ -350,7 +349,7 @@
             if (recovery == null) {
                 startRecovery(nowMs);
             }
-            recovery.tick(nowMs);
+            recovery.tick(nowMs, acceptors);
         }
         if (activeProposal != null) {
             activeProposal.tick(nowMs);
@@ -364,17 +363,17 @@
         recovery =
                 new AcceptorRecovery(
                         self,
-                        acceptors,
-                        highestBallot,
-                        incarnation,
+                        ballots,
                         host,
+                        recoverySettings,
+                        random.nextLong(),
                         this::logFailedRecoveryRound);
         LOG.info(
                 "Acceptor {}: disk lost -> no vote, cause=no state on disk, acceptors={},"
                         + " highestBallot={}",
                 self,
                 acceptors,
-                highestBallot);
+                ballots.highest());
     }
 
     private void logFailedRecoveryRound(AcceptorRecovery.FailedRound failed) {
@@ -386,7 +385,7 @@
                 failed.ballot(),
                 failed.promisedBy(),
                 failed.rejectedBy(),
-                highestBallot);
+                ballots.highest());
     }
 
     /**
--- a/system/src/main/java/poppynotch/simulation/FaultInjection.java
+++ b/system/src/main/java/poppynotch/simulation/FaultInjection.java
@@ -75,7 +75,12 @@
         /** The disks of some replicas, whatever is tolerated, fail all writes. */
         DISK_FULL_MANY(false),
         /** All replicas and edges get a share of a processor that is spent early in each tenth. */
-        THROTTLE(false);
+        THROTTLE(false),
+        /**
+         * Operators have as many changes in progress as they may, all the time. It is part of
+         * {@link FaultSchedule#drawLossesInTurn} only.
+         */
+        FLOOD(false);
 
         private final boolean affectsOneReplica;
 
--- a/system/src/main/java/poppynotch/simulation/FaultSchedule.java
+++ b/system/src/main/java/poppynotch/simulation/FaultSchedule.java
@@ -1,6 +1,7 @@
 package poppynotch.simulation;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -43,6 +44,20 @@
     /** Exclusive bound of the draws beyond {@link #MIN_DRAWS}. */
     private static final int EXTRA_DRAWS_BOUND = 14;
 
+    /** Kinds that {@link #draw(long)} draws from; kinds added later are drawn by their own. */
+    private static final FaultInjection.Kind[] DRAWN_KINDS =
+            Arrays.copyOf(FaultInjection.Kind.values(), FaultInjection.Kind.THROTTLE.ordinal() + 1);
+
+    private static final FaultInjection.Kind[] LOSSES = {
+        FaultInjection.Kind.WIPE, FaultInjection.Kind.WIPE, FaultInjection.Kind.REPLACE
+    };
+
+    /** Losses in turn are of the first so many of {@link #DURATIONS_MS}. */
+    private static final int MAX_LOSS_DURATIONS = 5;
+
+    /** The next loss in turn begins within this time after the last one has caught up. */
+    private static final int MAX_PAUSE_MS = 600;
+
     private static final long[] DURATIONS_MS = {200, 500, 900, 1500, 2500, 4000, 8000, 20_000};
 
     public FaultSchedule {
@@ -51,7 +66,36 @@
 
     /** Draws a schedule of all kinds of faults for the cluster size that belongs to the seed. */
     public static FaultSchedule draw(long seed) {
-        return draw(seed, ClusterSize.of(seed), FaultInjection.Kind.values());
+        return draw(seed, ClusterSize.of(seed), DRAWN_KINDS);
+    }
+
+    /**
+     * Draws losses of disks and replacements of replicas, one as soon as the last one counts as
+     * lost no more, and as many at once as are tolerated, while changes never pause.
+     */
+    public static FaultSchedule drawLossesInTurn(long seed) {
+        ClusterSize size = ClusterSize.of(seed);
+        SplittableRandom random = new SplittableRandom(seed * 31 + 19);
+        List<FaultInjection> faults = new ArrayList<>();
+        faults.add(new FaultInjection(FIRST_START_MS, FaultInjection.Kind.FLOOD, 0, LAST_START_MS));
+        long startMs = FIRST_START_MS + random.nextInt((int) CATCH_UP_MS);
+        while (startMs < LAST_START_MS) {
+            long recoveredMs = startMs;
+            int first = random.nextInt(size.replicas());
+            int count = 1 + random.nextInt(size.toleratedLosses());
+            for (int i = 0; i < count; i++) {
+                FaultInjection loss =
+                        new FaultInjection(
+                                startMs,
+                                LOSSES[random.nextInt(LOSSES.length)],
+                                (first + i) % size.replicas(),
+                                DURATIONS_MS[random.nextInt(MAX_LOSS_DURATIONS)]);
+                faults.add(loss);
+                recoveredMs = Math.max(recoveredMs, recoveredMs(loss));
+            }
+            startMs = recoveredMs + random.nextInt(MAX_PAUSE_MS);
+        }
+        return new FaultSchedule(seed, size, faults);
     }
 
     /** Draws a schedule of some kinds of faults. */
--- a/system/src/main/java/poppynotch/simulation/InvariantChecker.java
+++ b/system/src/main/java/poppynotch/simulation/InvariantChecker.java
@@ -25,6 +25,12 @@
     /** An acknowledged drain must be respected by every edge in stable contact after this time. */
     private static final long DRAIN_PROPAGATION_MS = 2000;
 
+    /**
+     * A lost vote must be back so long after the last fault: half of the time for which the replica
+     * counts as lost, as its process has to start and connect in the other half.
+     */
+    private static final long VOTE_RECOVERY_MS = FaultSchedule.CATCH_UP_MS / 2;
+
     /** An edge is in stable contact once nothing has failed for this time. */
     private static final long STABLE_CONTACT_MS = 3000;
 
@@ -137,6 +143,35 @@
         }
     }
 
+    /** Checks that every replica has its vote, once nothing has failed for some time. */
+    void checkVotes() {
+        long lastStartMs =
+                fleet.replicas().stream().mapToLong(VirtualProcess::startedMs).max().orElse(0);
+        long calmForMs = fleet.time().getAsLong() - Math.max(lastFaultMs, lastStartMs);
+        if (calmForMs <= VOTE_RECOVERY_MS || !areAllReplicasConnected()) {
+            return;
+        }
+        for (VirtualControlPlane replica : fleet.replicas()) {
+            if (!replica.node().mayVote()) {
+                report(
+                        replica.name()
+                                + " has no vote "
+                                + calmForMs
+                                + " ms after the last fault or start");
+            }
+        }
+    }
+
+    private boolean areAllReplicasConnected() {
+        return areAllReplicasRunning()
+                && fleet.replicas().stream()
+                        .allMatch(replica -> reachableReplicas(replica) == fleet.replicas().size());
+    }
+
+    private boolean areAllReplicasRunning() {
+        return fleet.replicas().stream().allMatch(replica -> replica.isUp() && !replica.isFrozen());
+    }
+
     /** Checks the edges that are in stable contact with the control plane. */
     void checkEdges() {
         long nowMs = fleet.time().getAsLong();
@@ -164,10 +199,7 @@
      */
     private boolean isControlPlaneStable() {
         int count = fleet.replicas().size();
-        boolean allRun =
-                fleet.replicas().stream()
-                        .allMatch(replica -> replica.isUp() && !replica.isFrozen());
-        return allRun
+        return areAllReplicasRunning()
                 && fleet.replicas().stream()
                         .anyMatch(replica -> 2 * reachableReplicas(replica) > count);
     }
--- a/system/src/main/java/poppynotch/simulation/SeededDefect.java
+++ b/system/src/main/java/poppynotch/simulation/SeededDefect.java
@@ -34,5 +34,10 @@
     /** Changes are acknowledged while the founders' set is too small for the losses to be borne. */
     ACKNOWLEDGED_BY_FOUNDERS,
     /** A change of the acceptor set is applied to whatever set there is, not only to its own. */
-    SET_CHANGE_OF_ANY_SET
+    SET_CHANGE_OF_ANY_SET,
+    /**
+     * A replica that has lost its disk asks for promises every half second only, with a ballot no
+     * higher than the next one of any proposer.
+     */
+    RECOVERY_STARVES
 }
--- a/system/src/main/java/poppynotch/simulation/SimulatedFleet.java
+++ b/system/src/main/java/poppynotch/simulation/SimulatedFleet.java
@@ -83,6 +83,7 @@
         time.after(CHECK_INTERVAL_MS, this::checkPeriodically);
         checker.checkEdges();
         checker.checkAcceptorSets();
+        checker.checkVotes();
     }
 
     private static String replicaAddress(int number) {
--- a/system/src/main/java/poppynotch/simulation/VirtualControlPlane.java
+++ b/system/src/main/java/poppynotch/simulation/VirtualControlPlane.java
@@ -11,6 +11,7 @@
 import poppynotch.control.ControlPlaneNode;
 import poppynotch.control.PeerNetwork;
 import poppynotch.control.QuorumContact;
+import poppynotch.register.AcceptorRecovery;
 import poppynotch.register.AcceptorSet;
 import poppynotch.register.AcceptorState;
 import poppynotch.wire.Message;
@@ -24,6 +25,10 @@
     private static final long TICK_INTERVAL_MS = 50;
     private static final long REGISTRATION_INTERVAL_MS = 1200;
 
+    /** Rounds of half a second that neither skip ballots nor follow a rejection at once. */
+    private static final AcceptorRecovery.Settings STARVING_RECOVERY =
+            new AcceptorRecovery.Settings(0, 500, 500, 500, 500);
+
     /** Send times of older heartbeats are forgotten. */
     private static final int MAX_UNACKNOWLEDGED_HEARTBEATS = 64;
 
@@ -92,7 +97,8 @@
                                 newSetPlanner(),
                                 REGISTRATION_INTERVAL_MS,
                                 disk.read(),
-                                firstIncarnation),
+                                firstIncarnation,
+                                recoverySettings()),
                         time,
                         action -> runLater(0, action),
                         this,
@@ -114,6 +120,12 @@
         return false;
     }
 
+    private AcceptorRecovery.Settings recoverySettings() {
+        return fleet.defect() == SeededDefect.RECOVERY_STARVES
+                ? STARVING_RECOVERY
+                : AcceptorRecovery.Settings.DEFAULT;
+    }
+
     private AcceptorSetPlanner newSetPlanner() {
         return switch (fleet.defect()) {
             case PLACE_NEVER_HANDED_ON, ACKNOWLEDGED_BY_FOUNDERS, SET_CHANGE_OF_ANY_SET ->
--- a/system/src/main/java/poppynotch/simulation/VirtualOperator.java
+++ b/system/src/main/java/poppynotch/simulation/VirtualOperator.java
@@ -22,6 +22,7 @@
     private static final long FIRST_CALL_MS = 300;
     private static final int MAX_PAUSE_MS = 500;
     private static final int MAX_STORM_PAUSE_MS = 60;
+    private static final int MAX_FLOOD_PAUSE_MS = 4;
     private static final long FINAL_RETRY_DELAY_MS = 100;
     private static final int MAX_IN_FLIGHT = 8;
 
@@ -46,6 +47,7 @@
     private final NavigableMap<Long, Long> acknowledgedGenerations = new TreeMap<>();
 
     private long stormUntilMs;
+    private long floodUntilMs;
     private int inFlight;
     private boolean stopped;
     private boolean losesAnswers = true;
@@ -72,6 +74,11 @@
         stormUntilMs = fleet.time().getAsLong() + durationMs;
     }
 
+    /** Keeps as many calls in flight as there may be for some time. */
+    void startFlood(long durationMs) {
+        floodUntilMs = fleet.time().getAsLong() + durationMs;
+    }
+
     /** Ends the calls that operators make on their own; from now on no answer is lost. */
     void stop() {
         stopped = true;
@@ -88,14 +95,20 @@
         if (stopped) {
             return;
         }
-        boolean inStorm = fleet.time().getAsLong() < stormUntilMs;
-        int maxPauseMs = inStorm ? MAX_STORM_PAUSE_MS : MAX_PAUSE_MS;
-        fleet.time().after(1 + random.nextInt(maxPauseMs), this::step);
+        fleet.time().after(1 + random.nextInt(maxPauseMs()), this::step);
         if (inFlight < MAX_IN_FLIGHT) {
             makeRandomCall();
         }
     }
 
+    private int maxPauseMs() {
+        long nowMs = fleet.time().getAsLong();
+        if (nowMs < floodUntilMs) {
+            return MAX_FLOOD_PAUSE_MS;
+        }
+        return nowMs < stormUntilMs ? MAX_STORM_PAUSE_MS : MAX_PAUSE_MS;
+    }
+
     private void makeRandomCall() {
         int draw = random.nextInt(ACTION_DRAW_BOUND);
         if (changes.isEmpty() || draw >= CONFLICT_DRAW_BOUND) {
--- a/system/src/main/java/poppynotch/simulation/VirtualProcess.java
+++ b/system/src/main/java/poppynotch/simulation/VirtualProcess.java
@@ -16,6 +16,7 @@
     private boolean frozen;
     private long frozenSinceMs;
     private int startCount;
+    private long startedMs;
 
     VirtualProcess(String name, VirtualTime time) {
         this.name = name;
@@ -42,12 +43,18 @@
         return startCount;
     }
 
+    /** When the latest incarnation started. */
+    long startedMs() {
+        return startedMs;
+    }
+
     /** Starts a new incarnation if the process is not up. */
     final void start() {
         if (up) {
             return;
         }
         startCount++;
+        startedMs = time.getAsLong();
         up = true;
         frozen = false;
         onStart();
--- a/system/src/test/java/poppynotch/control/RegisterCluster.java
+++ b/system/src/test/java/poppynotch/control/RegisterCluster.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import poppynotch.register.AcceptorRecovery;
 import poppynotch.register.AcceptorSet;
 import poppynotch.register.AcceptorState;
 import poppynotch.register.Ballot;
@@ -72,6 +73,7 @@
                             ++incarnations * 7919,
                             Optional.ofNullable(persistedState),
                             AcceptorSet.of(List.of()),
+                            AcceptorRecovery.Settings.DEFAULT,
                             this,
                             this);
             int current = incarnation;
--- a/system/src/test/java/poppynotch/control/RegisterSchedulesTest.java
+++ b/system/src/test/java/poppynotch/control/RegisterSchedulesTest.java
@@ -2,12 +2,16 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
 import poppynotch.config.DocumentCodec;
 import poppynotch.register.RegisterValue;
 
@@ -25,6 +29,11 @@
     /** A machine that is back counts as failed for this time: only then the next one may fail. */
     private static final long CATCH_UP_MS = 3000;
 
+    @BeforeAll
+    static void logOnlyErrors() {
+        ((Logger) LoggerFactory.getLogger("poppynotch")).setLevel(Level.ERROR);
+    }
+
     @Test
     void keepsAcknowledgedChangesUnderRandomFaults() {
         for (int seed = 1; seed <= SCHEDULES; seed++) {
--- a/system/src/test/java/poppynotch/simulation/ControlSchedulesTest.java
+++ b/system/src/test/java/poppynotch/simulation/ControlSchedulesTest.java
@@ -6,6 +6,7 @@
 import ch.qos.logback.classic.Logger;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongFunction;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
@@ -21,6 +22,8 @@
 
     private static final int SCHEDULE_COUNT = 2000;
 
+    private static final int LOSSES_IN_TURN_COUNT = 200;
+
     /** A seeded defect must be found within so many schedules. */
     private static final int MAX_SCHEDULES_PER_DEFECT = 1000;
 
@@ -44,13 +47,34 @@
         assertWithMessage("findings by seed").that(findings).isEmpty();
     }
 
+    /** Guards against a lost vote that never returns while the configuration changes. */
+    @Test
+    void lostVotesReturnInTimeWhileChangesNeverPause() {
+        List<String> findings =
+                LongStream.rangeClosed(1, LOSSES_IN_TURN_COUNT)
+                        .parallel()
+                        .mapToObj(
+                                seed ->
+                                        SimulationRun.run(
+                                                        FaultSchedule.drawLossesInTurn(seed),
+                                                        SeededDefect.NONE)
+                                                .map(finding -> seed + ": " + finding))
+                        .flatMap(Optional::stream)
+                        .toList();
+        assertWithMessage("findings by seed").that(findings).isEmpty();
+    }
+
     @ParameterizedTest
     @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "NONE")
     void findsEverySeededDefect(SeededDefect defect) {
+        LongFunction<FaultSchedule> draw =
+                defect == SeededDefect.RECOVERY_STARVES
+                        ? FaultSchedule::drawLossesInTurn
+                        : FaultSchedule::draw;
         Optional<String> found =
                 LongStream.rangeClosed(1, MAX_SCHEDULES_PER_DEFECT)
                         .parallel()
-                        .mapToObj(seed -> SimulationRun.run(FaultSchedule.draw(seed), defect))
+                        .mapToObj(seed -> SimulationRun.run(draw.apply(seed), defect))
                         .flatMap(Optional::stream)
                         .findAny();
         assertWithMessage(defect + " within " + MAX_SCHEDULES_PER_DEFECT + " schedules")
