Take a response without a length for complete only where its orderly end was read

Cause: the decoder ends such a response at any end of its connection, and only a reset that a read reports was known. While a request is written, a write reports it: the channel was closed without an exception. Reads after that end like an orderly close. The same held for a connection that the edge closes, as at the end of its process.

Change: the end of the server's output is recorded before the decoder sees it, with half-closed channels; without it, or after a failed write, such a response is broken off. A failed write leaves the channel open, so that what had arrived is read to its end. All closes by this side inside a response count as broken off.

--- a/system/src/main/java/poppynotch/router/UpstreamConnection.java
+++ b/system/src/main/java/poppynotch/router/UpstreamConnection.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.ChannelOutputShutdownException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -15,8 +17,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.util.function.LongSupplier;
 import poppynotch.settings.HostPort;
+import poppynotch.transport.EndOfInputRecorder;
 import poppynotch.transport.StrictResponseDecoder;
 
 /**
@@ -71,8 +75,14 @@
 
     private long keepAliveMs = DEFAULT_KEEP_ALIVE_MS;
 
-    /** The connection ended in another way than by the server's orderly close. */
-    private boolean reset;
+    private final EndOfInputRecorder endOfInput = new EndOfInputRecorder();
+
+    /**
+     * The connection was reset, or is given up by this side: what arrived may lack its end. It is
+     * kept apart from {@link #endOfInput}, as a reset that a write has reported looks like an
+     * orderly end to the reads after it.
+     */
+    private boolean broken;
 
     /**
      * A connection that is not open yet.
@@ -104,7 +114,7 @@
 
     /** Whether it is open and nothing arrived on it that no request has asked for. */
     boolean isReusable() {
-        return channel.isActive() && !decoder.hasUnreadBytes();
+        return channel.isActive() && !broken && !endOfInput.hasEnded() && !decoder.hasUnreadBytes();
     }
 
     void close() {
@@ -157,13 +167,28 @@
         written = true;
         // Reading may have been paused for the client of the request before.
         channel.config().setAutoRead(true);
-        channel.writeAndFlush(request)
-                .addListener(
-                        done -> {
-                            if (!done.isSuccess()) {
-                                channel.close();
-                            }
-                        });
+        channel.writeAndFlush(request).addListener(this::onRequestWritten);
+    }
+
+    /**
+     * Where a write fails, the server has reset the connection. What arrived before that is still
+     * to be read, and may be a complete response.
+     */
+    private void onRequestWritten(Future<?> writing) {
+        if (writing.isSuccess()) {
+            return;
+        }
+        broken = true;
+        boolean canReadOn = writing.cause() instanceof ChannelOutputShutdownException;
+        if (listener == null || !canReadOn) {
+            channel.close();
+        }
+    }
+
+    /** Closes the connection though the response on it may not be complete. */
+    private void abandon() {
+        broken = true;
+        channel.close();
     }
 
     private void releaseUnsentRequest() {
@@ -191,6 +216,7 @@
     @Override
     public void channelRegistered(ChannelHandlerContext ctx) {
         ctx.pipeline().addBefore(ctx.name(), null, new HttpRequestEncoder());
+        ctx.pipeline().addBefore(ctx.name(), null, endOfInput);
         ctx.pipeline().addBefore(ctx.name(), null, decoder);
         ctx.fireChannelRegistered();
     }
@@ -216,7 +242,7 @@
 
     private void onHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
-            channel.close();
+            abandon();
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
@@ -225,7 +251,7 @@
         String responseId = response.headers().get(Headers.ATTEMPT_ID);
         if (responseId == null && attemptId != null) {
             // Servers always echo the id: which request this responds to can't be known.
-            channel.close();
+            abandon();
             return;
         }
         head = response;
@@ -241,8 +267,7 @@
 
     private void onContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
-            reset = true;
-            channel.close();
+            abandon();
             return;
         }
         ByteBuf data = content.content();
@@ -269,7 +294,7 @@
         listener = null;
         boolean framed = Headers.isFramed(endedHead);
         // An unframed response is complete if the server closed the connection in good order.
-        boolean complete = framed || !reset;
+        boolean complete = framed || (endOfInput.hasEnded() && !broken);
         if (framed && HttpUtil.isKeepAlive(endedHead) && isReusable()) {
             becomeIdle();
         } else {
@@ -294,6 +319,15 @@
 
     // ---- End of the connection ----
 
+    /** A server that has ended its output gets no more of a request. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            channel.close();
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         idleConnections.remove(this);
@@ -320,7 +354,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        reset = true;
+        broken = true;
         ctx.close();
     }
 }
--- a/system/src/main/java/poppynotch/router/UpstreamConnectionPool.java
+++ b/system/src/main/java/poppynotch/router/UpstreamConnectionPool.java
@@ -37,6 +37,10 @@
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        // The end of the input is told from other ends of a connection, and what
+                        // arrived before a write failed is still read.
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                        .option(ChannelOption.AUTO_CLOSE, false)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
     }
 
