Sidecar: read what an endpoint sent before its reset, after a write that fails

What callers saw: nothing wrong in a response.

Reset responses were marked as cut off already, by the failed write.

The channel stays open after a failed write and is read to its end; a response without a length is complete only where the endpoint's orderly end was read. The module uses transport's EndOfInputRecorder for it.

--- a/sidecar/src/main/java/poppynotch/sidecar/EndpointConnection.java
+++ b/sidecar/src/main/java/poppynotch/sidecar/EndpointConnection.java
@@ -7,12 +7,15 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.ChannelOutputShutdownException;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import poppynotch.balancer.AttemptOutcome;
+import poppynotch.transport.EndOfInputRecorder;
 
 /**
  * The handler of one connection to an endpoint: it writes one request at a time and reads its
@@ -33,6 +36,7 @@
     /** The generation of the endpoint's connections that this one belongs to. */
     private final int generation;
 
+    private final EndOfInputRecorder endOfInput = new EndOfInputRecorder();
     private final StrictResponseDecoder decoder = new StrictResponseDecoder();
     private final EndpointResponseReader reader;
     private Channel channel;
@@ -48,6 +52,9 @@
     /** It ends by an error, or by this side's will: what has arrived is not complete. */
     private boolean unusable;
 
+    /** A write has failed: the endpoint has reset the connection, and what came before is read. */
+    private boolean writeFailed;
+
     EndpointConnection(
             EndpointPool pool, MonotonicClock clock, RateLimitedLog log, Endpoint endpoint) {
         this.pool = pool;
@@ -72,6 +79,11 @@
         return unusable;
     }
 
+    /** Whether the endpoint has ended its output in good order: all that it sent has arrived. */
+    boolean hasInputEnded() {
+        return endOfInput.hasEnded() && !writeFailed;
+    }
+
     // ---- the request ----
 
     /** Connects and then writes the attempt's request, unless that must not go out any more. */
@@ -127,16 +139,22 @@
         writing.addListener(
                 written -> {
                     sent.setWritten(written.isSuccess());
-                    closeIfWriteFailed(written);
+                    onWritten(written);
                 });
     }
 
     /**
-     * The library has closed the channel then, and what had arrived by that time is no complete
-     * response.
+     * Where a write has failed, the endpoint has reset the connection. What arrived before that is
+     * still to be read, and may be a complete response.
      */
-    private void closeIfWriteFailed(Future<?> written) {
-        if (!written.isSuccess()) {
+    private void onWritten(Future<?> writing) {
+        if (writing.isSuccess() || writeFailed) {
+            return;
+        }
+        if (attempt != null && writing.cause() instanceof ChannelOutputShutdownException) {
+            writeFailed = true;
+            attempt.detachUpload();
+        } else if (!endOfInput.hasEnded()) {
             close();
         }
     }
@@ -149,7 +167,7 @@
     @Override
     public void onChunk(ByteBuf data) {
         RelayedBody upload = attempt.upload;
-        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::closeIfWriteFailed);
+        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::onWritten);
         upload.setDemand(channel.isWritable());
     }
 
@@ -180,6 +198,7 @@
     public void channelRegistered(ChannelHandlerContext ctx) {
         ctx.pipeline().addBefore(ctx.name(), null, new HttpRequestEncoder());
         ctx.pipeline().addBefore(ctx.name(), null, new InboundGate());
+        ctx.pipeline().addBefore(ctx.name(), null, endOfInput);
         ctx.pipeline().addBefore(ctx.name(), null, decoder);
         ctx.fireChannelRegistered();
     }
@@ -276,6 +295,15 @@
 
     // ---- the end ----
 
+    /** Comes after what the decoder makes of the end: a half-closed connection is of no use. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            channel.close();
+        }
+        ctx.fireUserEventTriggered(event);
+    }
+
     /** Whether it is as it was left: nothing more has arrived, and it has not ended. */
     boolean isUsable() {
         if (!reading) {
