--- a/sidecar/src/main/java/poppynotch/sidecar/EndpointConnection.java
+++ b/sidecar/src/main/java/poppynotch/sidecar/EndpointConnection.java
@@ -7,15 +7,12 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.ChannelOutputShutdownException;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import poppynotch.balancer.AttemptOutcome;
-import poppynotch.transport.EndOfInputRecorder;
 
 /**
  * The handler of one connection to an endpoint: it writes one request at a time and reads its
@@ -36,7 +33,6 @@
     /** The generation of the endpoint's connections that this one belongs to. */
     private final int generation;
 
-    private final EndOfInputRecorder endOfInput = new EndOfInputRecorder();
     private final StrictResponseDecoder decoder = new StrictResponseDecoder();
     private final EndpointResponseReader reader;
     private Channel channel;
@@ -52,9 +48,6 @@
     /** It ends by an error, or by this side's will: what has arrived is not complete. */
     private boolean unusable;
 
-    /** A write has failed: the endpoint has reset the connection, and what came before is read. */
-    private boolean writeFailed;
-
     EndpointConnection(
             EndpointPool pool, MonotonicClock clock, RateLimitedLog log, Endpoint endpoint) {
         this.pool = pool;
@@ -79,11 +72,6 @@
         return unusable;
     }
 
-    /** Whether the endpoint has ended its output in good order: all that it sent has arrived. */
-    boolean hasInputEnded() {
-        return endOfInput.hasEnded() && !writeFailed;
-    }
-
     // ---- the request ----
 
     /** Connects and then writes the attempt's request, unless that must not go out any more. */
@@ -139,22 +127,16 @@
         writing.addListener(
                 written -> {
                     sent.setWritten(written.isSuccess());
-                    onWritten(written);
+                    closeIfWriteFailed(written);
                 });
     }
 
     /**
-     * Where a write has failed, the endpoint has reset the connection. What arrived before that is
-     * still to be read, and may be a complete response.
+     * The library has closed the channel then, and what had arrived by that time is no complete
+     * response.
      */
-    private void onWritten(Future<?> writing) {
-        if (writing.isSuccess() || writeFailed) {
-            return;
-        }
-        if (attempt != null && writing.cause() instanceof ChannelOutputShutdownException) {
-            writeFailed = true;
-            attempt.detachUpload();
-        } else if (!endOfInput.hasEnded()) {
+    private void closeIfWriteFailed(Future<?> written) {
+        if (!written.isSuccess()) {
             close();
         }
     }
@@ -167,7 +149,7 @@
     @Override
     public void onChunk(ByteBuf data) {
         RelayedBody upload = attempt.upload;
-        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::onWritten);
+        channel.writeAndFlush(new DefaultHttpContent(data)).addListener(this::closeIfWriteFailed);
         upload.setDemand(channel.isWritable());
     }
 
@@ -198,7 +180,6 @@
     public void channelRegistered(ChannelHandlerContext ctx) {
         ctx.pipeline().addBefore(ctx.name(), null, new HttpRequestEncoder());
         ctx.pipeline().addBefore(ctx.name(), null, new InboundGate());
-        ctx.pipeline().addBefore(ctx.name(), null, endOfInput);
         ctx.pipeline().addBefore(ctx.name(), null, decoder);
         ctx.fireChannelRegistered();
     }
@@ -295,15 +276,6 @@
 
     // ---- the end ----
 
-    /** Comes after what the decoder makes of the end: a half-closed connection is of no use. */
-    @Override
-    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event == ChannelInputShutdownEvent.INSTANCE) {
-            channel.close();
-        }
-        ctx.fireUserEventTriggered(event);
-    }
-
     /** Whether it is as it was left: nothing more has arrived, and it has not ended. */
     boolean isUsable() {
         if (!reading) {
--- a/sidecar/src/main/java/poppynotch/sidecar/EndpointPool.java
+++ b/sidecar/src/main/java/poppynotch/sidecar/EndpointPool.java
@@ -77,10 +77,6 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.ALLOCATOR, Sidecar.BUFFERS)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        // The end of the input is told from other ends of a connection, and what
-                        // arrived before a write failed is still read.
-                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                        .option(ChannelOption.AUTO_CLOSE, false)
                         .option(ChannelOption.RECVBUF_ALLOCATOR, Sidecar.RECEIVE_BUFFERS)
                         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Sidecar.WRITE_WATER_MARKS);
         configure(connectTimeoutMs, idleCloseMs);
--- a/sidecar/src/main/java/poppynotch/sidecar/EndpointResponseReader.java
+++ b/sidecar/src/main/java/poppynotch/sidecar/EndpointResponseReader.java
@@ -7,8 +7,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import poppynotch.balancer.AttemptOutcome;
@@ -81,7 +79,7 @@
 
     private void onContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
-        if (content.decoderResult().isFailure() || (last && isCutOff())) {
+        if (content.decoderResult().isFailure() || (last && connection.isUnusable())) {
             log.warn("answer cut off", content.decoderResult());
             connection.close();
             return;
@@ -105,25 +103,10 @@
         }
     }
 
-    /** Whether the decoder ends the response only because its connection has ended early. */
-    private boolean isCutOff() {
-        boolean endsWithConnection = hasBody() && isUnframed();
-        return connection.isUnusable() || (endsWithConnection && !connection.hasInputEnded());
-    }
-
-    private boolean hasBody() {
-        int status = head.status().code();
-        return status != HttpResponseStatus.NO_CONTENT.code()
-                && status != HttpResponseStatus.NOT_MODIFIED.code()
-                && head.status().codeClass() != HttpStatusClass.INFORMATIONAL;
-    }
-
-    private boolean isUnframed() {
-        return !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head);
-    }
-
     private boolean isEndedByClose() {
-        return HttpUtil.isKeepAlive(head) && isUnframed();
+        return HttpUtil.isKeepAlive(head)
+                && !HttpUtil.isContentLengthSet(head)
+                && !HttpUtil.isTransferEncodingChunked(head);
     }
 
     private void startStreamIfLarge(int status) {
