--- a/system/src/test/java/poppynotch/simulation/ControlSchedulesTest.java
+++ b/system/src/test/java/poppynotch/simulation/ControlSchedulesTest.java
@@ -34,30 +34,22 @@
 
     @Test
     void findsNoViolationInDrawnSchedules() {
-        List<String> findings =
-                LongStream.rangeClosed(1, SCHEDULE_COUNT)
-                        .parallel()
-                        .mapToObj(
-                                seed ->
-                                        SimulationRun.run(
-                                                        FaultSchedule.draw(seed), SeededDefect.NONE)
-                                                .map(finding -> seed + ": " + finding))
-                        .flatMap(Optional::stream)
-                        .toList();
-        assertWithMessage("findings by seed").that(findings).isEmpty();
+        assertNoFinding(SCHEDULE_COUNT, FaultSchedule::draw);
     }
 
     /** Guards against a lost vote that never returns while the configuration changes. */
     @Test
     void lostVotesReturnInTimeWhileChangesNeverPause() {
+        assertNoFinding(LOSSES_IN_TURN_COUNT, FaultSchedule::drawLossesInTurn);
+    }
+
+    private static void assertNoFinding(int count, LongFunction<FaultSchedule> draw) {
         List<String> findings =
-                LongStream.rangeClosed(1, LOSSES_IN_TURN_COUNT)
+                LongStream.rangeClosed(1, count)
                         .parallel()
                         .mapToObj(
                                 seed ->
-                                        SimulationRun.run(
-                                                        FaultSchedule.drawLossesInTurn(seed),
-                                                        SeededDefect.NONE)
+                                        SimulationRun.run(draw.apply(seed), SeededDefect.NONE)
                                                 .map(finding -> seed + ": " + finding))
                         .flatMap(Optional::stream)
                         .toList();
