review: case 7 is a drain that the control plane forgets; a tidier stage

Cause: drains and ends of servers are held in the replicas' memory only. After a kill of all of them an edge that had not heard of one keeps the server until a replica calls its list complete, 2.2 heartbeats after its quorum is back.

--- a/review/standins-2/Server.java
+++ b/review/standins-2/Server.java
@@ -32,10 +32,8 @@
     private final Work work;
     private final AtomicLong sequence = new AtomicLong();
     private final int heartbeatMs;
-    volatile String state = "ready";
     volatile boolean closed;
     volatile boolean beating = true;
-    volatile String version = "v1";
 
     Server(Stage stage, String id, String backend, String ip, int slots, int heartbeatMs, Work work)
             throws IOException {
@@ -88,9 +86,8 @@
 
     boolean put(InetSocketAddress control, long number) {
         String json =
-                "{\"Backend\":\"" + backend + "\",\"Address\":\"" + address() + "\",\"Zone\":\"z\",\"Generation\":\""
-                        + version + "\",\"Slots\":" + slots + ",\"State\":\"" + state
-                        + "\",\"ColdRemainingMs\":0,\"Sequence\":" + number + "}";
+                "{\"Backend\":\"" + backend + "\",\"Address\":\"" + address() + "\",\"Zone\":\"z\",\"Generation\":\"v1\",\"Slots\":"
+                         + slots + ",\"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":" + number + "}";
         return call(control, "PUT", json);
     }
 
--- a/review/standins-2/Stage.java
+++ b/review/standins-2/Stage.java
@@ -8,9 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -149,13 +147,12 @@
     // ---- processes ----
 
     /** Writes the settings of a process, as DEPLOY.md shows them. */
-    Path writeSettings(String name, String ip, String bind, String dataDir, boolean bootstrap, String extraSeeds)
+    Path writeSettings(String name, String ip, String bind, String dataDir, boolean bootstrap)
             throws IOException {
         StringBuilder seeds = new StringBuilder();
         for (int i = 0; i < Math.min(3, cores); i++) {
             seeds.append(i == 0 ? "" : ",").append('"').append(coreIp(i)).append(':').append(controlPort).append('"');
         }
-        seeds.append(extraSeeds);
         String toml =
                 "NodeName = \"" + name + "\"\nIp = \"" + ip + "\"\nZone = \"z\"\nRegion = \"r\"\n"
                         + "EphemeralPorts = [" + peerPort + "," + (peerPort + 15) + "]\n"
@@ -181,14 +178,14 @@
         Path data = folder.resolve("data-" + name);
         Files.createDirectories(data);
         String bind = "Control = \"" + coreIp(i) + ":" + controlPort + "\"\n";
-        start(name, "control-plane", writeSettings(name, coreIp(i), bind, data.toString(), bootstrap, ""));
+        start(name, "control-plane", writeSettings(name, coreIp(i), bind, data.toString(), bootstrap));
     }
 
     void startEdge(int i, boolean bootstrap) throws IOException {
         String name = "edge-" + i;
         String bind =
                 "Front = \"" + edgeIp(i) + ":" + frontPort + "\"\nReadiness = \"" + edgeIp(i) + ":" + readyPort + "\"\n";
-        start(name, "edge", writeSettings(name, edgeIp(i), bind, "", bootstrap, ""));
+        start(name, "edge", writeSettings(name, edgeIp(i), bind, "", bootstrap));
     }
 
     void startAll() throws IOException {
@@ -225,34 +222,6 @@
         throw new IOException("no command for " + role);
     }
 
-    List<String> names() {
-        return processes.keySet().stream().sorted().toList();
-    }
-
-    /** Writes a settings file anew, with the seeds in another order. */
-    void rewriteSettings(String name) throws IOException {
-        Path file = folder.resolve(name + ".toml");
-        List<String> lines = new ArrayList<>(Files.readAllLines(file));
-        for (int i = 0; i < lines.size(); i++) {
-            if (lines.get(i).startsWith("Seeds = [")) {
-                List<String> seeds = new ArrayList<>(List.of(lines.get(i).replaceAll(".*\\[|\\].*", "").split(",")));
-                Collections.reverse(seeds);
-                lines.set(i, "Seeds = [" + String.join(",", seeds) + "]");
-            }
-        }
-        Path changed = folder.resolve(name + ".toml.new");
-        Files.write(changed, lines);
-        Files.move(changed, file, StandardCopyOption.REPLACE_EXISTING);
-    }
-
-    Process process(String name) {
-        return processes.get(name);
-    }
-
-    boolean runs(String name) {
-        return processes.get(name).isAlive();
-    }
-
     /** Sends a signal to a process that this stage started: KILL, TERM, HUP, STOP or CONT. */
     void signal(String name, String signal) {
         Process process = processes.get(name);
@@ -267,10 +236,6 @@
         note("platform: SIG" + signal + " to " + name);
     }
 
-    String log(String name) throws IOException {
-        return Files.readString(folder.resolve(name + ".log"));
-    }
-
     /** Waits until every edge answers its readiness probe with 200. */
     boolean awaitReady(long timeoutMs) {
         long deadline = nowMs() + timeoutMs;
@@ -344,10 +309,6 @@
         killAll();
         note("all processes ended");
         record.close();
-        if (System.getenv("KEEP") != null) {
-            System.out.println("kept " + folder);
-            return;
-        }
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
                 Files.delete(file);
