control: acknowledged drains and ends of servers survive a restart

Cause: drains and removals were in memory only, and acknowledged by a majority of such memories. After the restart no replica knows of them, and the edge drops a server that nobody lists only when a replica calls its list complete: 2.64 s after that has its quorum again.

Change: a departure is on the disks of a majority of the replicas, with a quorum of the acceptors among them, before its 2xx (DepartureJournal, DepartureStore: a file beside the acceptor's state, two slots written in turn, checksums, file and folder synced, on a thread of its own). Replicas read it at their start and send it first on each connection to a peer. Tombstones are kept for ten minutes, and an edge that was out of contact for more than five distrusts what it knew.

--- a/register/src/main/java/poppynotch/register/AcceptorStateStore.java
+++ b/register/src/main/java/poppynotch/register/AcceptorStateStore.java
@@ -20,7 +20,7 @@
  * <p>All methods block on the disk and must be called by one thread at a time. Call {@link #read}
  * once before the first {@link #write}. The owner closes the store, which closes its files.
  */
-public final class AcceptorStateStore implements Closeable {
+public final class AcceptorStateStore implements StateStore<AcceptorState>, Closeable {
 
     /** A log longer than this is replaced by a new snapshot in the other slot. */
     private static final long MAX_LOG_BYTES = 256 * 1024;
@@ -112,6 +112,7 @@
      *
      * @return whether the files were intact, or there was nothing to compare
      */
+    @Override
     public boolean scrub() throws IOException {
         if (currentSlot == NO_SLOT || logEndUncertain) {
             return true;
@@ -138,6 +139,7 @@
      * Writes a state and forces it to disk: once this returns, it survives a loss of power. After
      * an exception it may be lost or not.
      */
+    @Override
     public void write(AcceptorState state) throws IOException {
         boolean needsSnapshot =
                 logEndUncertain || currentSlot == NO_SLOT || logEndPosition > MAX_LOG_BYTES;
--- a/system/src/main/java/poppynotch/app/ExploreCommand.java
+++ b/system/src/main/java/poppynotch/app/ExploreCommand.java
@@ -43,6 +43,13 @@
             description = "all kinds of faults, while operators roll out new versions of servers")
     private boolean rollouts;
 
+    @Parameter(
+            names = "--departures",
+            description =
+                    "servers that drain or leave while an edge is out of contact, and losses of"
+                            + " all replicas at the acknowledgement")
+    private boolean departures;
+
     @Parameter(
             names = "--shorten",
             description = "leave out faults that a finding does not depend on")
@@ -76,6 +83,9 @@
         if (lossesInTurn) {
             return FaultSchedule.drawLossesInTurn(seed);
         }
+        if (departures) {
+            return FaultSchedule.drawDepartures(seed);
+        }
         return rollouts ? FaultSchedule.drawWithRollouts(seed) : FaultSchedule.draw(seed);
     }
 
--- a/system/src/main/java/poppynotch/control/ControlPlaneNode.java
+++ b/system/src/main/java/poppynotch/control/ControlPlaneNode.java
@@ -67,6 +67,7 @@
      * @param acceptorSetPlanner decides how the set of acceptors should change
      * @param serverHeartbeatMs the interval at which model servers renew their registration
      * @param persistedState the acceptor's state as read from disk, if there is one
+     * @param persistedDepartures the servers that drain or have left, as read from disk
      * @param firstIncarnation whether that state was just created, so that no earlier incarnation
      *     of this replica can have granted the singleton role
      * @param recovery settings for the recovery of the acceptor's vote if that state is lost
@@ -79,10 +80,20 @@
             AcceptorSetPlanner acceptorSetPlanner,
             long serverHeartbeatMs,
             Optional<AcceptorState> persistedState,
+            List<ServerRecord> persistedDepartures,
             boolean firstIncarnation,
             AcceptorRecovery.Settings recovery,
             ExposureLimits exposureLimits) {}
 
+    /**
+     * The disk of a node.
+     *
+     * @param acceptor persists the acceptor's state
+     * @param departures persists the servers that drain or have left
+     */
+    public record Storage(
+            StateStorage<AcceptorState> acceptor, StateStorage<List<ServerRecord>> departures) {}
+
     /**
      * Receives the result of a read of the configuration: its JSON, or empty if the newest version
      * could not be determined in time or none has been written yet.
@@ -121,7 +132,7 @@
      * @param owner runs a task later on the owner's thread
      * @param peers the network to the other replicas
      * @param contact the contact state that {@code peers} reads as well
-     * @param storage persists the acceptor's state
+     * @param storage persists what must survive a restart
      * @param replies sends a message to an edge's connection
      */
     public ControlPlaneNode(
@@ -130,7 +141,7 @@
             Executor owner,
             PeerNetwork peers,
             QuorumContact contact,
-            AcceptorStorage storage,
+            Storage storage,
             BiConsumer<C, Message> replies) {
         self = config.self();
         seedAddresses = config.seeds();
@@ -139,6 +150,7 @@
         this.peers = peers;
         long nowMs = clock.getAsLong();
         registry = new ServerRegistry(nowMs, config.serverHeartbeatMs());
+        registry.restore(nowMs, config.persistedDepartures());
         polls =
                 new LongPollService<>(
                         config.incarnation(),
@@ -148,12 +160,13 @@
                         new PollSource(),
                         clock,
                         replies);
-        register = newRegister(config, storage);
+        register = newRegister(config, storage.acceptor());
         quorumLease = new QuorumLease(register, contact, clock);
         servers =
                 new RegistryReplicator(
                         self,
                         registry,
+                        storage.departures(),
                         peers,
                         register::acceptors,
                         quorumLease::isExpired,
@@ -184,7 +197,7 @@
                 new StatusReport(self, register, registry, edges, peers, contact, quorumLease);
     }
 
-    private RegisterReplica newRegister(Config config, AcceptorStorage storage) {
+    private RegisterReplica newRegister(Config config, StateStorage<AcceptorState> storage) {
         return new RegisterReplica(
                 self,
                 config.incarnation(),
@@ -303,6 +316,11 @@
         peers.addPeer(sender, clock.getAsLong());
     }
 
+    /** A connection to another replica was opened; nothing but the hello was sent on it yet. */
+    public void onPeerConnected(String peer) {
+        servers.onPeerConnected(peer);
+    }
+
     /** Handles a message of another replica; types that replicas do not exchange are ignored. */
     public void onMessage(String sender, Message message) {
         peerMessages.onMessage(clock.getAsLong(), sender, message);
--- a/system/src/main/java/poppynotch/control/ControlPlaneServer.java
+++ b/system/src/main/java/poppynotch/control/ControlPlaneServer.java
@@ -128,10 +128,13 @@
         boolean firstIncarnation = restored.isEmpty() && settings.bootstrap();
         Optional<AcceptorState> persisted =
                 firstIncarnation ? Optional.of(bootstrap(store)) : restored;
+        DepartureStore departureStore = new DepartureStore(folder);
+        List<ServerRecord> departures = departureStore.read();
         LOG.info(
-                "Acceptor state restored: folder={}, state={}",
+                "Acceptor state restored: folder={}, state={}, departures={}",
                 folder,
-                persisted.map(AcceptorState::toString).orElse("none"));
+                persisted.map(AcceptorState::toString).orElse("none"),
+                departures.size());
         ControlPlaneNode.Config config =
                 new ControlPlaneNode.Config(
                         self,
@@ -140,6 +143,7 @@
                         new AcceptorSetPlanner(settings.toleratedMachineFailures()),
                         settings.heartbeatMs(),
                         persisted,
+                        departures,
                         firstIncarnation,
                         AcceptorRecovery.Settings.DEFAULT,
                         new ExposureLimits(
@@ -153,13 +157,21 @@
                         loop,
                         peerConnections(contact),
                         contact,
-                        new DiskStorage(store, loop),
+                        new ControlPlaneNode.Storage(
+                                new DiskStorage<>("register", store, loop),
+                                new DiskStorage<>("departures", departureStore, loop)),
                         RecordChannel::send);
     }
 
     private PeerConnections peerConnections(QuorumContact contact) {
         return new PeerConnections(
-                loop, self, incarnation, settings.peerPort(), ControlPlaneServer::nowMs, contact);
+                loop,
+                self,
+                incarnation,
+                settings.peerPort(),
+                ControlPlaneServer::nowMs,
+                contact,
+                peer -> node.onPeerConnected(peer));
     }
 
     private AcceptorState bootstrap(AcceptorStateStore store) throws IOException {
--- a/system/src/main/java/poppynotch/control/PeerConnections.java
+++ b/system/src/main/java/poppynotch/control/PeerConnections.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import poppynotch.settings.HostPort;
 import poppynotch.wire.Message;
@@ -80,6 +81,7 @@
             lastReplyMs = clock.getAsLong();
             RecordChannel.send(channel, new Message.Hello(self, incarnation));
             channel.closeFuture().addListener(closed -> channel = null);
+            onPeerConnected.accept(peer.toString());
         }
 
         void send(Message message) {
@@ -109,6 +111,7 @@
     private final LongSupplier clock;
     private final Bootstrap bootstrap;
     private final QuorumContact contact;
+    private final Consumer<String> onPeerConnected;
 
     /** By the peer's control address. */
     private final Map<String, PeerConnection> connections = new HashMap<>();
@@ -124,6 +127,8 @@
      * @param self this replica's control address
      * @param peerPort the port at which all replicas accept connections of their peers
      * @param clock a monotonic clock in milliseconds
+     * @param onPeerConnected called with the address of a peer when a connection to it was opened,
+     *     and before any other message than the hello is sent on it
      */
     PeerConnections(
             EventLoop loop,
@@ -131,12 +136,14 @@
             long incarnation,
             int peerPort,
             LongSupplier clock,
-            QuorumContact contact) {
+            QuorumContact contact,
+            Consumer<String> onPeerConnected) {
         this.self = self;
         this.incarnation = incarnation;
         this.peerPort = peerPort;
         this.clock = clock;
         this.contact = contact;
+        this.onPeerConnected = onPeerConnected;
         bootstrap =
                 new Bootstrap()
                         .group(loop)
--- a/system/src/main/java/poppynotch/control/PeerMessageHandler.java
+++ b/system/src/main/java/poppynotch/control/PeerMessageHandler.java
@@ -68,11 +68,7 @@
 
     private void onRegistryMessage(long nowMs, String sender, Message message) {
         if (message instanceof Message.ServersChanged changed) {
-            servers.applyRelayed(nowMs, changed.servers());
-            // Request id 0 marks a change that needs no acknowledgement.
-            if (changed.requestId() != 0) {
-                peers.send(sender, new Message.ServersAcknowledged(changed.requestId()));
-            }
+            servers.onServersChanged(nowMs, sender, changed);
         } else if (message instanceof Message.ServersAcknowledged acknowledged) {
             servers.onAcknowledged(sender, acknowledged.requestId());
         } else if (message instanceof Message.FetchRegistry) {
--- a/system/src/main/java/poppynotch/control/RegisterReplica.java
+++ b/system/src/main/java/poppynotch/control/RegisterReplica.java
@@ -30,7 +30,7 @@
  *
  * <p>Owned by {@link ControlPlaneNode} and called from its thread; callbacks run on that thread.
  * Time is passed in, messages go out through {@link Host}, and the acceptor's state is persisted by
- * an {@link AcceptorStorage}.
+ * a {@link StateStorage}.
  */
 public final class RegisterReplica {
 
@@ -75,7 +75,7 @@
     private final String self;
     private final AcceptorRecovery.Settings recoverySettings;
     private final Host host;
-    private final AcceptorStorage storage;
+    private final StateStorage<AcceptorState> storage;
     private final Acceptor acceptor;
     private final SplittableRandom random;
     private final Deque<PendingChange> pending = new ArrayDeque<>();
@@ -118,7 +118,7 @@
             Optional<AcceptorState> persisted,
             AcceptorSet acceptors,
             AcceptorRecovery.Settings recoverySettings,
-            AcceptorStorage storage,
+            StateStorage<AcceptorState> storage,
             Host host) {
         this.self = self;
         this.recoverySettings = recoverySettings;
--- a/system/src/main/java/poppynotch/control/RegistryReplicator.java
+++ b/system/src/main/java/poppynotch/control/RegistryReplicator.java
@@ -18,8 +18,13 @@
 
 /**
  * Keeps the server registries of all control-plane replicas consistent. It sends changes made here
- * to the others, applies the changes they relay, fetches a peer's registry when the two differ
- * (anti-entropy), and acknowledges a drain or a removal only once a majority has received it.
+ * to the others, applies the changes they relay, and fetches a peer's registry when the two differ
+ * (anti-entropy).
+ *
+ * <p>A drain or a removal is acknowledged only once it is on the disks of a majority of the
+ * replicas that includes a quorum of the acceptors. A replica sends all that it has on disk first
+ * on each connection to a peer. So whichever replicas restart, and as many disks as are tolerated
+ * are lost: a replica that is in contact with a quorum knows every acknowledged drain and removal.
  *
  * <p>Owned by {@link ControlPlaneNode} and called from its thread; callbacks run on that thread.
  * Time is passed in.
@@ -28,7 +33,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(RegistryReplicator.class);
 
-    /** A change that no majority has acknowledged after this time is reported as not replicated. */
+    /** A change without enough acknowledgements after this time is reported as not replicated. */
     private static final long REPLICATION_TIMEOUT_MS = 900;
 
     /** A peer counts for the majority if its last contact is no older than this. */
@@ -39,26 +44,37 @@
 
     private static final int MAX_TRACKED_DRAINS = 4096;
 
-    /** A change that is reported as replicated once a majority has acknowledged it. */
+    /** The request id of a change that needs no acknowledgement. */
+    private static final long NO_ACKNOWLEDGEMENT = 0;
+
+    /** A change that is reported as replicated once enough replicas have acknowledged it. */
     private static final class PendingReplication {
         private final Set<String> acknowledgedBy = new HashSet<>();
         private final Set<String> replicas;
+        private final AcceptorSet acceptors;
         private final Consumer<Boolean> callback;
         private final long deadlineMs;
 
-        PendingReplication(Set<String> replicas, Consumer<Boolean> callback, long deadlineMs) {
+        PendingReplication(
+                Set<String> replicas,
+                AcceptorSet acceptors,
+                Consumer<Boolean> callback,
+                long deadlineMs) {
             this.replicas = replicas;
+            this.acceptors = acceptors;
             this.callback = callback;
             this.deadlineMs = deadlineMs;
         }
 
-        boolean hasMajority() {
-            return 2 * replicas.stream().filter(acknowledgedBy::contains).count() > replicas.size();
+        boolean isReplicated() {
+            long acknowledged = replicas.stream().filter(acknowledgedBy::contains).count();
+            return 2 * acknowledged > replicas.size() && acceptors.isQuorum(acknowledgedBy);
         }
     }
 
     private final String self;
     private final ServerRegistry registry;
+    private final DepartureJournal departures;
     private final PeerNetwork peers;
     private final Supplier<AcceptorSet> acceptors;
     private final BooleanSupplier quorumLeaseExpired;
@@ -70,7 +86,7 @@
     /** For each peer, the number of consecutive heartbeats with another registry digest. */
     private final Map<String, Integer> digestMismatches = new HashMap<>();
 
-    /** Servers whose drain was acknowledged by a majority of the replicas, oldest first. */
+    /** Draining servers whose drain is replicated, oldest first. */
     private final Set<String> replicatedDrains = new LinkedHashSet<>();
 
     private long nextRequest = 1;
@@ -78,6 +94,7 @@
     /**
      * Creates the replicator of one replica's registry.
      *
+     * @param departureStorage persists the registry's departures; the present ones are on disk
      * @param acceptors the acceptor set: its members count for the majority also when they are out
      *     of contact
      * @param quorumLeaseExpired whether this replica's quorum lease has expired, so that it may
@@ -87,12 +104,14 @@
     RegistryReplicator(
             String self,
             ServerRegistry registry,
+            StateStorage<List<ServerRecord>> departureStorage,
             PeerNetwork peers,
             Supplier<AcceptorSet> acceptors,
             BooleanSupplier quorumLeaseExpired,
             Runnable publishUpdate) {
         this.self = self;
         this.registry = registry;
+        departures = new DepartureJournal(registry, departureStorage);
         this.peers = peers;
         this.acceptors = acceptors;
         this.quorumLeaseExpired = quorumLeaseExpired;
@@ -105,7 +124,7 @@
      * Registers a server or renews its registration.
      *
      * @param callback called once: false if the quorum lease has expired, or if the server is
-     *     draining and no majority acknowledges that in time
+     *     draining and that is not replicated in time
      */
     void register(long nowMs, ServerRecord server, Consumer<Boolean> callback) {
         if (quorumLeaseExpired.getAsBoolean()) {
@@ -158,8 +177,8 @@
     /**
      * Deregisters a server that is shutting down.
      *
-     * @param callback called once: false if the quorum lease has expired, or if no majority
-     *     acknowledges the removal in time
+     * @param callback called once: false if the quorum lease has expired, or if the removal is not
+     *     replicated in time
      */
     void deregister(long nowMs, String id, Consumer<Boolean> callback) {
         if (quorumLeaseExpired.getAsBoolean()) {
@@ -179,17 +198,29 @@
         replicate(nowMs, tombstone, callback);
     }
 
-    /** Sends a change to all peers; {@code callback} gets whether a majority acknowledged it. */
+    /** Sends a change to all peers; {@code callback} gets whether it is replicated. */
     private void replicate(long nowMs, ServerRecord server, Consumer<Boolean> callback) {
+        AcceptorSet currentAcceptors = acceptors.get();
         Set<String> replicas = new HashSet<>(peers.reachableReplicas(nowMs, MAX_CONTACT_AGE_MS));
-        replicas.addAll(acceptors.get().voters());
+        replicas.addAll(currentAcceptors.voters());
         long request = nextRequest;
         nextRequest++;
         pending.put(
                 request,
-                new PendingReplication(replicas, callback, nowMs + REPLICATION_TIMEOUT_MS));
+                new PendingReplication(
+                        replicas, currentAcceptors, callback, nowMs + REPLICATION_TIMEOUT_MS));
         peers.sendToAll(new Message.ServersChanged(request, List.of(server)));
-        onAcknowledged(self, request);
+        whenDurable(List.of(server), () -> onAcknowledged(self, request));
+    }
+
+    /** Runs an action once the departures among the servers are on disk here. */
+    private void whenDurable(List<ServerRecord> servers, Runnable action) {
+        if (servers.stream().anyMatch(ServerRegistry::isDeparture)) {
+            departures.whenDurable(action);
+        } else {
+            departures.flush();
+            action.run();
+        }
     }
 
     /** Records a replica's acknowledgement; unknown and completed requests are ignored. */
@@ -199,7 +230,7 @@
             return;
         }
         change.acknowledgedBy.add(replica);
-        if (change.hasMajority()) {
+        if (change.isReplicated()) {
             pending.remove(request);
             change.callback.accept(true);
         }
@@ -207,8 +238,27 @@
 
     // ---- changes made elsewhere ----
 
-    /** Applies changes that a peer relays. */
-    void applyRelayed(long nowMs, List<ServerRecord> servers) {
+    /** Applies changes that a peer relays, and acknowledges them once they are as durable here. */
+    void onServersChanged(long nowMs, String sender, Message.ServersChanged changed) {
+        applyRelayed(nowMs, changed.servers());
+        whenDurable(
+                changed.servers(),
+                () -> {
+                    if (changed.requestId() != NO_ACKNOWLEDGEMENT) {
+                        peers.send(sender, new Message.ServersAcknowledged(changed.requestId()));
+                    }
+                });
+    }
+
+    /** Sends the departures known here to a peer to which a connection was opened. */
+    void onPeerConnected(String peer) {
+        List<ServerRecord> known = registry.departures();
+        if (!known.isEmpty()) {
+            peers.send(peer, new Message.ServersChanged(NO_ACKNOWLEDGEMENT, known));
+        }
+    }
+
+    private void applyRelayed(long nowMs, List<ServerRecord> servers) {
         boolean changed = false;
         for (ServerRecord server : servers) {
             // Each replica expires servers by its own leases.
@@ -224,6 +274,7 @@
     /** Applies a peer's complete registry. */
     void applySnapshot(long nowMs, Message.RegistrySnapshot snapshot) {
         applyRelayed(nowMs, snapshot.servers());
+        departures.flush();
         if (snapshot.complete()) {
             registry.markComplete(nowMs);
         }
@@ -267,6 +318,7 @@
     /** Expires servers' leases, and pending replications that are past their deadline. */
     void tick(long nowMs) {
         if (registry.tick(nowMs)) {
+            departures.flush();
             publishUpdate.run();
         }
         if (pending.isEmpty()) {
--- a/system/src/main/java/poppynotch/control/ServerRegistry.java
+++ b/system/src/main/java/poppynotch/control/ServerRegistry.java
@@ -8,15 +8,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import poppynotch.wire.DepartureRetention;
 import poppynotch.wire.Message;
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.ServerState;
 
 /**
- * The registry of model servers: each has a lease that its heartbeats renew. It is soft state;
- * every control-plane replica has its own, and {@link RegistryReplicator} exchanges the changes. A
- * server that has left stays as a tombstone for a while, so that a late heartbeat does not add it
- * again.
+ * The registry of model servers: each has a lease that its heartbeats renew. Every control-plane
+ * replica has its own, and {@link RegistryReplicator} exchanges the changes. Servers that are ready
+ * are soft state; those that drain or have left are <em>departures</em>, which {@link
+ * DepartureJournal} keeps on disk. A server that has left stays as a tombstone ({@link
+ * DepartureRetention}), so that a late heartbeat does not add it again, and edges that were out of
+ * contact are notified. A draining server whose lease expires has left.
  *
  * <p>An entry is either directly observed (it was renewed at this replica, or at one that received
  * the server's heartbeat) or only relayed (known from another replica's list, or not renewed since
@@ -31,8 +34,8 @@
 
     private static final long LEASE_SLACK_MS = 800;
 
-    /** How long the entry of a server that has left or expired is retained. */
-    private static final long TOMBSTONE_RETENTION_MS = 60_000;
+    /** How long the entry of a server that has expired is retained. */
+    private static final long EXPIRED_RETENTION_MS = 60_000;
 
     /** Heartbeat intervals after which every live server is assumed to have registered again. */
     private static final double COMPLETE_HEARTBEATS = 2.2;
@@ -70,6 +73,7 @@
     private final Map<String, Long> pendingRenewals = new HashMap<>();
 
     private long version = 1;
+    private long departuresVersion;
     private long completeAtMs;
 
     /** The cached digest at {@link #digestVersion}; renewals of leases do not change it. */
@@ -132,6 +136,9 @@
             return false;
         } else {
             boolean unchanged = entry.server.equalsIgnoringSequence(server);
+            if (!unchanged && isDeparture(entry.server)) {
+                departuresVersion++;
+            }
             entry.server = server;
             entry.relayedOnly = false;
             if (unchanged) {
@@ -141,9 +148,21 @@
             }
         }
         entry.renewedMs = nowMs;
+        onChanged(entry);
+        return true;
+    }
+
+    private void onChanged(Entry entry) {
         version++;
         entry.version = version;
-        return true;
+        if (isDeparture(entry.server)) {
+            departuresVersion++;
+        }
+    }
+
+    /** Applies the departures that an earlier process of this replica has recorded. */
+    public void restore(long nowMs, List<ServerRecord> departures) {
+        departures.forEach(departure -> applyRelayed(nowMs, departure));
     }
 
     /**
@@ -233,20 +252,39 @@
             Entry entry = iterator.next();
             boolean live = isLive(entry.server);
             if (live && nowMs - entry.renewedMs > leaseMs) {
-                entry.server = entry.server.withState(ServerState.EXPIRED);
-                version++;
-                entry.version = version;
-            } else if (!live && nowMs - entry.renewedMs > TOMBSTONE_RETENTION_MS) {
+                onLeaseExpired(nowMs, entry);
+            } else if (!live && nowMs - entry.renewedMs > retentionMs(entry.server)) {
                 iterator.remove();
             }
         }
         return version != versionBefore;
     }
 
+    private void onLeaseExpired(long nowMs, Entry entry) {
+        if (entry.server.state() == ServerState.DRAINING) {
+            entry.server = entry.server.withState(ServerState.LEFT);
+            entry.renewedMs = nowMs;
+        } else {
+            entry.server = entry.server.withState(ServerState.EXPIRED);
+        }
+        onChanged(entry);
+    }
+
+    private static long retentionMs(ServerRecord server) {
+        return server.state() == ServerState.LEFT
+                ? DepartureRetention.TOMBSTONE_RETENTION_MS
+                : EXPIRED_RETENTION_MS;
+    }
+
     private static boolean isLive(ServerRecord server) {
         return server.state() == ServerState.READY || server.state() == ServerState.DRAINING;
     }
 
+    /** Whether a server drains or has left. */
+    static boolean isDeparture(ServerRecord server) {
+        return server.state() == ServerState.DRAINING || server.state() == ServerState.LEFT;
+    }
+
     // ---- queries ----
 
     /** The version of the registry, which grows with each change of an entry. */
@@ -254,6 +292,16 @@
         return version;
     }
 
+    /** The version of the departures, which grows with each change of one. */
+    long departuresVersion() {
+        return departuresVersion;
+    }
+
+    /** The servers that drain or have left. */
+    List<ServerRecord> departures() {
+        return all().stream().filter(ServerRegistry::isDeparture).toList();
+    }
+
     /** The state of a server; empty if it is not known. */
     Optional<ServerState> stateOf(String id) {
         return Optional.ofNullable(entries.get(id)).map(entry -> entry.server.state());
--- a/system/src/main/java/poppynotch/control/StateStorage.java
+++ b/system/src/main/java/poppynotch/control/StateStorage.java
@@ -1,9 +1,11 @@
 package poppynotch.control;
 
-import poppynotch.register.AcceptorState;
-
-/** Persists an acceptor's state, so that a restarted process keeps its promises. */
-public interface AcceptorStorage {
+/**
+ * Persists the states of one kind, so that a restarted process continues with the newest one.
+ *
+ * @param <S> the type of the states; each supersedes the ones before it
+ */
+public interface StateStorage<S> {
 
     /**
      * Persists a state after the states of earlier calls.
@@ -12,5 +14,5 @@
      * @param onPersisted run on the owner's thread once the state is on disk; never run if it could
      *     not be written
      */
-    void persist(AcceptorState state, Runnable onPersisted);
+    void persist(S state, Runnable onPersisted);
 }
--- a/system/src/main/java/poppynotch/router/ControlClient.java
+++ b/system/src/main/java/poppynotch/router/ControlClient.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.function.LongSupplier;
 import poppynotch.register.RegisterValue;
+import poppynotch.wire.DepartureRetention;
 import poppynotch.wire.Message;
 import poppynotch.wire.RolloutReport;
 import poppynotch.wire.ServerRecord;
@@ -95,14 +96,7 @@
                 listener.onConfiguration(reply.value());
             }
             listener.onConfirmed(currentMs);
-            if (directory.update(
-                    link.index(),
-                    reply.fullRegistry(),
-                    reply.registryComplete(),
-                    reply.servers())) {
-                listener.onServersChanged(directory.servers());
-            }
-            link.updateRegistryPosition(reply.controlIncarnation(), reply.registryVersion());
+            updateServers(link, reply, currentMs);
             if (!reply.edgeAddresses().isEmpty()) {
                 listener.onEdgeAddressesChanged(reply.edgeAddresses());
             }
@@ -115,6 +109,28 @@
                     link.reportedUsage());
         }
 
+        private void updateServers(ControlLink link, Message.PollReply reply, long currentMs) {
+            boolean distrustsKnownServers =
+                    currentMs - serversCurrentMs > DepartureRetention.MAX_TRUSTED_ABSENCE_MS;
+            if (distrustsKnownServers && !reply.fullRegistry()) {
+                // The next poll requests all servers, as the changes lack removed tombstones.
+                link.updateRegistryPosition(0, 0);
+                return;
+            }
+            if (distrustsKnownServers) {
+                directory.discardLists();
+            }
+            serversCurrentMs = Math.max(serversCurrentMs, currentMs);
+            if (directory.update(
+                    link.index(),
+                    reply.fullRegistry(),
+                    reply.registryComplete() || distrustsKnownServers,
+                    reply.servers())) {
+                listener.onServersChanged(directory.servers());
+            }
+            link.updateRegistryPosition(reply.controlIncarnation(), reply.registryVersion());
+        }
+
         @Override
         public void onFailed(String replica) {
             replicas.onFailed(clock.getAsLong(), replica);
@@ -131,6 +147,9 @@
     private final QuotaUsageTracker quotaUsage;
     private final List<ControlLink> links = new ArrayList<>();
 
+    /** The latest time up to which a replica has confirmed the known servers. */
+    private long serversCurrentMs;
+
     /**
      * Creates a client, which connects at its first tick.
      *
@@ -153,6 +172,7 @@
         this.listener = listener;
         replicas = new ControlPlaneReplicas(new SplittableRandom(incarnation));
         quotaUsage = new QuotaUsageTracker(listener, ControlLink.REPLY_TIMEOUT_MS);
+        serversCurrentMs = clock.getAsLong();
         LinkOwner owner = new LinkOwner();
         for (int index = 0; index < LINK_COUNT; index++) {
             links.add(new ControlLink(index, connector, clock, owner));
--- a/system/src/main/java/poppynotch/router/ServerDirectory.java
+++ b/system/src/main/java/poppynotch/router/ServerDirectory.java
@@ -36,6 +36,14 @@
         listedIdsByLink.remove(linkIndex);
     }
 
+    /**
+     * Discards the lists of all links: a server that no replica lists from now on is removed by the
+     * next update with a complete list.
+     */
+    void discardLists() {
+        listedIdsByLink.clear();
+    }
+
     /**
      * Merges the servers that a connection lists.
      *
--- a/system/src/main/java/poppynotch/simulation/FaultInjection.java
+++ b/system/src/main/java/poppynotch/simulation/FaultInjection.java
@@ -86,7 +86,19 @@
          * Operators roll out one version of the servers after the other from then on. Only part of
          * {@link FaultSchedule#drawWithRollouts}.
          */
-        ROLLOUTS(false);
+        ROLLOUTS(false),
+        /** An edge's process is frozen and resumes. */
+        EDGE_FREEZE(false),
+        /**
+         * A server drains or announces its shutdown; at the acknowledgement all replicas are killed
+         * and restart. Only part of {@link FaultSchedule#drawDepartures}.
+         */
+        SERVER_LEAVES_THEN_KILL_ALL(false),
+        /**
+         * The same as {@link #SERVER_LEAVES_THEN_KILL_ALL}, but as many replicas as are tolerated
+         * lose their disks, the one that sent the acknowledgement among them.
+         */
+        SERVER_LEAVES_THEN_WIPE_AND_POWER_LOSS(false);
 
         private final boolean affectsOneReplica;
 
@@ -110,7 +122,11 @@
         /** Whether disks are lost while other replicas fail too; no other loss may overlap it. */
         boolean losesDisksOfMany() {
             return switch (this) {
-                case BEHIND, WIPE_AND_POWER_LOSS, ORDER_THEN_WIPE_AND_POWER_LOSS -> true;
+                case BEHIND,
+                                WIPE_AND_POWER_LOSS,
+                                ORDER_THEN_WIPE_AND_POWER_LOSS,
+                                SERVER_LEAVES_THEN_WIPE_AND_POWER_LOSS ->
+                        true;
                 default -> false;
             };
         }
@@ -118,7 +134,13 @@
         /** Whether more replicas may fail at once than are tolerated. */
         boolean affectsManyReplicas() {
             return switch (this) {
-                case SPLIT, KILL_ALL, KILL_MANY, FREEZE_MANY, DISK_FULL_MANY -> true;
+                case SPLIT,
+                                KILL_ALL,
+                                KILL_MANY,
+                                FREEZE_MANY,
+                                DISK_FULL_MANY,
+                                SERVER_LEAVES_THEN_KILL_ALL ->
+                        true;
                 default -> losesDisksOfMany();
             };
         }
--- a/system/src/main/java/poppynotch/simulation/FaultInjector.java
+++ b/system/src/main/java/poppynotch/simulation/FaultInjector.java
@@ -26,6 +26,11 @@
 
     private static final int SEED_COUNT = 3;
 
+    /** The time from the start of a replica's process until it takes part in the protocol. */
+    private static final long MIN_STARTUP_MS = 400;
+
+    private static final int STARTUP_JITTER_MS = 600;
+
     /** Period of the CPU quota; {@link #MIN_QUOTA_MS} is the minimum run time per period. */
     private static final long QUOTA_PERIOD_MS = 100;
 
@@ -237,6 +242,20 @@
                             fault.durationMs());
             case DRAIN -> replaceReadyServer(fault.target()).drain();
             case SERVER_ENDS -> replaceReadyServer(fault.target()).announceShutdown();
+            case EDGE_FREEZE -> {
+                edge.freeze();
+                endAfter(fault.durationMs(), edge::resume);
+            }
+            case SERVER_LEAVES_THEN_KILL_ALL -> {
+                armAtNextAcknowledgement(
+                        VirtualServer.class, replica -> powerOffAll(fault.durationMs()));
+                startLeaving(fault.target());
+            }
+            case SERVER_LEAVES_THEN_WIPE_AND_POWER_LOSS -> {
+                armAtNextAcknowledgement(
+                        VirtualServer.class, replica -> wipeSomeAndPowerOff(List.of(replica)));
+                startLeaving(fault.target());
+            }
             case STORM -> fleet.operator().startStorm(fault.durationMs());
             case ROLLOUTS -> fleet.startRollouts();
             case FLOOD -> fleet.operator().startFlood(fault.durationMs());
@@ -344,6 +363,30 @@
                         });
     }
 
+    /**
+     * Kills all replicas and restarts each within a time. The processes take a random time to
+     * start, in which they count as running.
+     */
+    private void powerOffAll(long maxDowntimeMs) {
+        for (VirtualControlPlane replica : fleet.replicas()) {
+            replica.kill();
+            long startupMs = MIN_STARTUP_MS + random.nextInt(STARTUP_JITTER_MS);
+            endAfter(
+                    1 + random.nextInt((int) maxDowntimeMs),
+                    () -> fleet.time().after(startupMs, replica::start));
+        }
+    }
+
+    /** Lets a ready server drain, or announce its shutdown without a drain. */
+    private void startLeaving(int target) {
+        VirtualServer server = replaceReadyServer(target);
+        if (random.nextBoolean()) {
+            server.drain();
+        } else {
+            server.announceShutdown();
+        }
+    }
+
     private void restartAfterRandomDowntime(VirtualControlPlane replica) {
         restart(replica, RESTART_DELAY_MS + random.nextInt((int) RESTART_DELAY_MS));
     }
--- a/system/src/main/java/poppynotch/simulation/FaultSchedule.java
+++ b/system/src/main/java/poppynotch/simulation/FaultSchedule.java
@@ -60,6 +60,15 @@
     /** The next loss in turn begins within this time after the previous one has recovered. */
     private static final int MAX_PAUSE_MS = 600;
 
+    /** The acceptor set has grown, and all servers are registered by then. */
+    private static final long FIRST_DEPARTURE_MS = 6000;
+
+    /** An edge has lost its polls' replies after this time. */
+    private static final long MIN_EDGE_ABSENCE_MS = 700;
+
+    /** Replicas that are killed at once return within this time. */
+    private static final long MAX_DOWNTIME_MS = 1000;
+
     private static final long[] DURATIONS_MS = {200, 500, 900, 1500, 2500, 4000, 8000, 20_000};
 
     public FaultSchedule {
@@ -109,6 +118,35 @@
         return new FaultSchedule(seed, drawn.size(), faults);
     }
 
+    /**
+     * Draws servers that drain or leave while an edge is frozen or cut off. At the acknowledgement
+     * all replicas are killed, or lose power, and as many as are tolerated lose their disks. The
+     * edge is back soon afterwards.
+     */
+    public static FaultSchedule drawDepartures(long seed) {
+        ClusterSize size = ClusterSize.of(seed);
+        SplittableRandom random = new SplittableRandom(seed * 31 + 23);
+        List<FaultInjection> faults = new ArrayList<>();
+        long startMs = FIRST_DEPARTURE_MS + random.nextInt(MAX_PAUSE_MS);
+        while (startMs < LAST_START_MS) {
+            FaultInjection.Kind edgeFault =
+                    random.nextBoolean()
+                            ? FaultInjection.Kind.EDGE_FREEZE
+                            : FaultInjection.Kind.EDGE_CUT;
+            FaultInjection.Kind loss =
+                    random.nextInt(3) == 0
+                            ? FaultInjection.Kind.SERVER_LEAVES_THEN_WIPE_AND_POWER_LOSS
+                            : FaultInjection.Kind.SERVER_LEAVES_THEN_KILL_ALL;
+            int target = random.nextInt(size.replicas());
+            long lossMs = startMs + MIN_EDGE_ABSENCE_MS + random.nextInt(MAX_PAUSE_MS);
+            long absenceMs = lossMs - startMs + 1 + random.nextInt(MAX_PAUSE_MS);
+            faults.add(new FaultInjection(startMs, edgeFault, target, absenceMs));
+            faults.add(new FaultInjection(lossMs, loss, target, MAX_DOWNTIME_MS));
+            startMs = lossMs + RECOVERY_MS + random.nextInt(MAX_PAUSE_MS);
+        }
+        return new FaultSchedule(seed, size, faults);
+    }
+
     /** Whether operators roll out new versions of the servers. */
     boolean hasRollouts() {
         return faults.stream().anyMatch(fault -> fault.kind() == FaultInjection.Kind.ROLLOUTS);
@@ -189,7 +227,11 @@
         long maxDurationMs =
                 switch (fault.kind()) {
                     case TERMINATE, REPLACE_PLANNED -> fault.durationMs() + SHUTDOWN_TIMEOUT_MS;
-                    case SERVER_ENDS_THEN_KILL, ORDER_THEN_KILL, ORDER_THEN_WIPE_AND_POWER_LOSS ->
+                    case SERVER_ENDS_THEN_KILL,
+                                    ORDER_THEN_KILL,
+                                    ORDER_THEN_WIPE_AND_POWER_LOSS,
+                                    SERVER_LEAVES_THEN_KILL_ALL,
+                                    SERVER_LEAVES_THEN_WIPE_AND_POWER_LOSS ->
                             fault.durationMs() + ARMED_TIMEOUT_MS;
                     default -> fault.durationMs();
                 };
--- a/system/src/main/java/poppynotch/simulation/SeededDefect.java
+++ b/system/src/main/java/poppynotch/simulation/SeededDefect.java
@@ -21,6 +21,8 @@
     ANNOUNCED_BEFORE_CHOSEN,
     /** The shutdown of a server is acknowledged, but not replicated. */
     TOMBSTONE_DROPPED,
+    /** Replicas acknowledge drains and removals of servers before these are on their disks. */
+    DEPARTURE_ACKNOWLEDGED_BEFORE_SYNC,
     /** A drain is acknowledged by a replica that has not replicated it. */
     DRAIN_HELD_BY_ONE,
     /** An edge applies every configuration that it receives, also an older one. */
--- a/system/src/main/java/poppynotch/simulation/VirtualControlPlane.java
+++ b/system/src/main/java/poppynotch/simulation/VirtualControlPlane.java
@@ -11,6 +11,7 @@
 import poppynotch.control.ControlPlaneNode;
 import poppynotch.control.PeerNetwork;
 import poppynotch.control.QuorumContact;
+import poppynotch.control.StateStorage;
 import poppynotch.register.AcceptorRecovery;
 import poppynotch.register.AcceptorSet;
 import poppynotch.register.AcceptorState;
@@ -71,7 +72,7 @@
         this.fleet = fleet;
         this.seeds = seeds;
         this.bootstrap = bootstrap;
-        disk = new VirtualDisk(fleet.time(), fleet.defect() == SeededDefect.ANSWER_BEFORE_SYNC);
+        disk = new VirtualDisk(fleet.time(), fleet.defect());
         defectiveMessages = new DefectiveMessages(fleet.defect(), this::receiveFromAll);
     }
 
@@ -100,7 +101,8 @@
                                 seeds,
                                 newSetPlanner(),
                                 REGISTRATION_INTERVAL_MS,
-                                disk.read(),
+                                disk.acceptor().read(),
+                                disk.departures().read().orElse(List.of()),
                                 firstIncarnation,
                                 recoverySettings(),
                                 new ExposureLimits(EXPOSURE_SHARE, EXPOSURE_SLACK_REQUESTS)),
@@ -108,18 +110,24 @@
                         action -> runLater(0, action),
                         this,
                         contact,
-                        (state, onDurable) -> disk.persist(state, () -> run(onDurable)),
+                        new ControlPlaneNode.Storage(
+                                storageOf(disk.acceptor()), storageOf(disk.departures())),
                         (target, message) -> target.onReply(this, message));
         node.updateSeeds(seeds);
         runPeriodically(TICK_INTERVAL_MS, node::tick);
     }
 
+    /** A file whose callbacks run in the replica's process. */
+    private <S> StateStorage<S> storageOf(VirtualFile<S> file) {
+        return (state, onDurable) -> file.persist(state, () -> run(onDurable));
+    }
+
     /** Initializes the disk of a founder's first process; returns whether it did. */
     private boolean bootstrapDisk() {
         boolean isFirstStart = startCount() == 1 && bootstrap;
         boolean bootstrapsAlways = fleet.defect() == SeededDefect.RECOVER_WITHOUT_COVER;
-        if (disk.read().isEmpty() && (isFirstStart || bootstrapsAlways)) {
-            disk.bootstrap(AcceptorState.initial(AcceptorSet.of(seeds)));
+        if (disk.acceptor().read().isEmpty() && (isFirstStart || bootstrapsAlways)) {
+            disk.acceptor().bootstrap(AcceptorState.initial(AcceptorSet.of(seeds)));
             return true;
         }
         return false;
@@ -237,5 +245,6 @@
     private void sendHello(VirtualControlPlane peer) {
         helloStartCounts.put(peer.name(), peer.startCount());
         fleet.network().send(this, peer, () -> peer.node.onHello(name()));
+        node.onPeerConnected(peer.name());
     }
 }
--- a/system/src/main/java/poppynotch/simulation/VirtualServer.java
+++ b/system/src/main/java/poppynotch/simulation/VirtualServer.java
@@ -117,7 +117,7 @@
                         replica,
                         CALL_TIMEOUT_MS,
                         VirtualServer.class,
-                        success -> success && state == ServerState.LEFT)
+                        success -> success && state != ServerState.READY)
                 .start(
                         onAnswer -> call.start(replica, onAnswer),
                         answer -> {
--- a/system/src/test/java/poppynotch/ArchitectureTest.java
+++ b/system/src/test/java/poppynotch/ArchitectureTest.java
@@ -24,7 +24,7 @@
             "poppynotch\\.(pool\\..*|rollout\\..*"
                     + "|control\\.(RegisterReplica|ServerRegistry|EdgeDirectory|QuorumContact"
                     + "|AcceptorSetPlanner|AcceptorSetManager|ControlPlaneNode|LongPollService"
-                    + "|RegistryReplicator|RoleElection|ConfigChange|QuorumLease"
+                    + "|RegistryReplicator|DepartureJournal|RoleElection|ConfigChange|QuorumLease"
                     + "|HeartbeatExchange|PeerMessageHandler|Rollout|ServingVersion|ApiCallLog).*"
                     + "|router\\.(ServerDirectory|QuotaUsageTracker|ControlClient|ControlLink"
                     + "|ControlPlaneReplicas|IdleConnectionPolicy|RetryPolicy"
--- a/system/src/test/java/poppynotch/control/RegisterCluster.java
+++ b/system/src/test/java/poppynotch/control/RegisterCluster.java
@@ -37,7 +37,7 @@
     }
 
     /** A machine with a disk, which outlives its processes, and one process per incarnation. */
-    final class Machine implements RegisterReplica.Host, AcceptorStorage {
+    final class Machine implements RegisterReplica.Host, StateStorage<AcceptorState> {
         final String name;
         AcceptorState persistedState;
         boolean isUp;
--- a/system/src/test/java/poppynotch/control/ServerRegistryTest.java
+++ b/system/src/test/java/poppynotch/control/ServerRegistryTest.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
+import poppynotch.wire.DepartureRetention;
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.ServerState;
 
@@ -119,4 +121,28 @@
         registry.all().forEach(server -> other.apply(2, server));
         assertThat(other.digest()).isEqualTo(registry.digest());
     }
+
+    /** Guards against a restart after which a departure is unknown, or a server serves on. */
+    @Test
+    void restoresDeparturesOfEarlierProcess() {
+        registry.restore(
+                0, List.of(server("a", ServerState.DRAINING, 3), server("b", ServerState.LEFT, 3)));
+        assertThat(registry.changesSince(0)).hasSize(2);
+        assertThat(registry.apply(10, server("a", ServerState.READY, 2))).isFalse();
+        assertThat(registry.apply(10, server("b", ServerState.READY, 9))).isFalse();
+        assertThat(registry.apply(20, server("a", ServerState.READY, 4))).isTrue();
+        assertThat(registry.departures()).containsExactly(server("b", ServerState.LEFT, 3));
+    }
+
+    /** Guards against an edge that hears of the drain only once the server is forgotten. */
+    @Test
+    void drainingServerWhoseLeaseExpiresHasLeft() {
+        registry.apply(0, server("a", ServerState.DRAINING, 1));
+        assertThat(registry.tick(4400)).isTrue();
+        assertThat(registry.departures()).containsExactly(server("a", ServerState.LEFT, 1));
+        registry.tick(4400 + DepartureRetention.TOMBSTONE_RETENTION_MS);
+        assertThat(registry.departures()).hasSize(1);
+        registry.tick(4401 + DepartureRetention.TOMBSTONE_RETENTION_MS);
+        assertThat(registry.departures()).isEmpty();
+    }
 }
--- a/system/src/test/java/poppynotch/simulation/ControlSchedulesTest.java
+++ b/system/src/test/java/poppynotch/simulation/ControlSchedulesTest.java
@@ -25,6 +25,8 @@
 
     private static final int LOSSES_IN_TURN_COUNT = 200;
 
+    private static final int DEPARTURE_SCHEDULE_COUNT = 300;
+
     private static final int ROLLOUT_SCHEDULE_COUNT = 300;
 
     /** A seeded defect must be found within this number of schedules. */
@@ -46,6 +48,12 @@
         assertNoFinding(LOSSES_IN_TURN_COUNT, FaultSchedule::drawLossesInTurn);
     }
 
+    /** Guards against an acknowledged drain or removal that a restart of all replicas forgets. */
+    @Test
+    void departuresSurviveLossesAtTheirAcknowledgement() {
+        assertNoFinding(DEPARTURE_SCHEDULE_COUNT, FaultSchedule::drawDepartures);
+    }
+
     /** Guards against rollouts that are lost or begun twice, and bad versions overexposed. */
     @Test
     void findsNoRolloutViolationInDrawnSchedules() {
@@ -84,6 +92,9 @@
         if (defect.concernsRollouts()) {
             return FaultSchedule::drawWithRollouts;
         }
+        if (defect == SeededDefect.DEPARTURE_ACKNOWLEDGED_BEFORE_SYNC) {
+            return FaultSchedule::drawDepartures;
+        }
         return defect == SeededDefect.RECOVERY_STARVES
                 ? FaultSchedule::drawLossesInTurn
                 : FaultSchedule::draw;
