control: a second drain of a server is replicated again

A server that drained, became ready again and drained once more got its second 2xx at once, as its id was among the drains that are replicated; peers had undone that drain meanwhile, and no message was sent. The id is forgotten when the server registers as ready.

RegistryReplicatorTest.secondDrainOfServerIsReplicatedAgain fails without the change.

--- a/system/src/main/java/poppynotch/control/RegistryReplicator.java
+++ b/system/src/main/java/poppynotch/control/RegistryReplicator.java
@@ -137,6 +137,7 @@
             logRegistration(server, before);
             publishUpdate.run();
             if (!draining) {
+                replicatedDrains.remove(server.id());
                 replicate(nowMs, server, replicated -> {});
             }
         }
--- a/system/src/test/java/poppynotch/control/RegistryReplicatorTest.java
+++ b/system/src/test/java/poppynotch/control/RegistryReplicatorTest.java
@@ -165,6 +165,25 @@
         assertThat(writes).isEmpty();
     }
 
+    /** Guards against an acknowledgement of the second drain by the replication of the first. */
+    @Test
+    void secondDrainOfServerIsReplicatedAgain() {
+        replicator.register(0, server(ServerState.DRAINING, 1), results::add);
+        finishWrites();
+        long first = latestRequest("b:1");
+        replicator.onAcknowledged("b:1", first);
+        replicator.onAcknowledged("c:1", first);
+        assertThat(results).containsExactly(true);
+        replicator.register(100, server(ServerState.READY, 2), result -> {});
+        replicator.register(200, server(ServerState.DRAINING, 3), results::add);
+        finishWrites();
+        assertThat(results).containsExactly(true);
+        long second = latestRequest("b:1");
+        replicator.onAcknowledged("b:1", second);
+        replicator.onAcknowledged("c:1", second);
+        assertThat(results).containsExactly(true, true);
+    }
+
     @Test
     void sendsDeparturesFirstToConnectedPeer() {
         replicator.onPeerConnected("b:1");
