config: a large number of a configuration is no longer another one

Cause: numbers were read as long and cast to int, so 2^31 became negative and 2^32 + 50 became 50; JsonNumber.longValue() wraps from 2^63 on. The same class of fault was in time-outs and deadlines near 2^63 (their sum with the time overflows), registrations (Slots, Sequence, an octet of an address), token counts of headers (negative ones gave quota back), settings of a process, and in the sidecar in service, whose memory for incomplete bodies was negative from memory_mb of 16,384 on.

Change: NumberRange and Amounts are the one place that makes one of the program's numbers of one from outside. Beyond what the program can hold it counts as the largest; a Generation that is no whole number above 0 and, in a new configuration, a negative number get 400 with the member's name. A configuration in force is read without the latter check. What an edge holds of all bodies is bounded by a quarter of its heap, whatever MaxBodyBytes says; beyond it a request gets 503 and has not run.

--- a/sidecar/src/main/java/poppynotch/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/poppynotch/sidecar/Sidecar.java
@@ -232,10 +232,15 @@
                         exchange,
                         config.settings(),
                         maxConnections,
-                        config.memoryMb() * PENDING_BODY_BYTES_PER_MB);
+                        pendingBodyBytes(config.memoryMb()));
         adminServer = new AdminServer(loop, log, new AdminOperations());
     }
 
+    /** The memory for bodies of pending requests; as much as an int can hold if it is larger. */
+    private static int pendingBodyBytes(int memoryMb) {
+        return (int) Math.min(Integer.MAX_VALUE, (long) memoryMb * PENDING_BODY_BYTES_PER_MB);
+    }
+
     /**
      * The limit on client connections, and equally on endpoint connections, while the other process
      * of an upgrade has the given number of descriptors open.
--- a/sidecar/src/test/java/poppynotch/sidecar/SidecarFixture.java
+++ b/sidecar/src/test/java/poppynotch/sidecar/SidecarFixture.java
@@ -19,7 +19,7 @@
  * A sidecar with fake endpoints and a fake discovery, all on loopback. A test sets the fields that
  * differ for it and then calls {@link #start}; {@link #close} ends everything.
  */
-final class SidecarFixture implements Closeable {
+class SidecarFixture implements Closeable {
 
     private static final long AWAIT_TIMEOUT_MS = 20_000;
 
--- a/system/src/main/java/poppynotch/config/ClientLimits.java
+++ b/system/src/main/java/poppynotch/config/ClientLimits.java
@@ -11,7 +11,7 @@
  *     since its last response
  */
 public record ClientLimits(
-        int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {
+        int maxHeaderBytes, long maxBodyBytes, long headerTimeoutMs, long idleTimeoutMs) {
 
     /** The limits if the configuration sets none. */
     public static final ClientLimits DEFAULT =
--- a/system/src/main/java/poppynotch/config/ConfigDecoder.java
+++ b/system/src/main/java/poppynotch/config/ConfigDecoder.java
@@ -1,9 +1,11 @@
 package poppynotch.config;
 
-import static poppynotch.config.JsonMembers.doubleOr;
-import static poppynotch.config.JsonMembers.longOr;
+import static poppynotch.config.JsonMembers.amountOr;
+import static poppynotch.config.JsonMembers.intOr;
+import static poppynotch.config.JsonMembers.numberOr;
 import static poppynotch.config.JsonMembers.objectOrEmpty;
 import static poppynotch.config.JsonMembers.objects;
+import static poppynotch.config.JsonMembers.priorityOr;
 import static poppynotch.config.JsonMembers.requiredNumber;
 import static poppynotch.config.JsonMembers.requiredString;
 
@@ -14,23 +16,30 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import poppynotch.numbers.Amounts;
+import poppynotch.numbers.InvalidNumberException;
+import poppynotch.numbers.NumberRange;
 
 /**
  * Decodes the JSON document of a configuration. Unknown members are ignored, and so are optional
- * strings and booleans of the wrong type. Throws {@link InvalidConfigException} for invalid values,
- * {@code ClassCastException} for other members of the wrong type, and {@code ArithmeticException}
- * if {@code Generation} is not a whole number.
+ * strings and booleans of the wrong type. A number beyond its range counts as the nearest one of
+ * the range. Throws {@link InvalidConfigException} for invalid values, {@link
+ * InvalidNumberException} for an invalid {@code Generation}, and {@code ClassCastException} for
+ * other members of the wrong type.
  */
 final class ConfigDecoder {
 
     private static final long DEFAULT_TIMEOUT_MS = 30_000;
+    private static final NumberRange GENERATIONS = NumberRange.of(1, Long.MAX_VALUE);
+
+    /** The priority of a tenant that has none. */
+    private static final int NO_PRIORITY = -1;
 
     private ConfigDecoder() {}
 
     /** Decodes and validates a complete configuration. */
     static FleetConfig decode(JsonObject document) {
-        long generation = requiredNumber(document, "Generation").longValueExact();
-        ConfigValidator.checkGeneration(generation);
+        long generation = generation(document);
         Map<String, Backend> backends = new LinkedHashMap<>();
         for (JsonObject item : objects(document, "Backends")) {
             Backend backend = backend(item);
@@ -50,6 +59,12 @@
         return new FleetConfig(generation, routes, backends, tenants, clientLimits(document));
     }
 
+    /** The generation of a configuration or a patch. */
+    static long generation(JsonObject document) {
+        return GENERATIONS.readExact(
+                "Generation", requiredNumber(document, "Generation").bigDecimalValue());
+    }
+
     private static Route route(JsonObject item) {
         String name = requiredString(item, "Name");
         List<Route.WeightedBackend> backends = weightedBackends(item);
@@ -58,14 +73,14 @@
                 requiredString(item, "Authority").toLowerCase(Locale.ROOT),
                 requiredString(item, "PathPrefix"),
                 routeType(name, item.getString("RouteType", "unsafe")),
-                longOr(item, "TimeoutMs", DEFAULT_TIMEOUT_MS),
-                longOr(item, "TargetLatencyMs", 0),
-                (int) longOr(item, "Priority", 1),
+                numberOr(item, "TimeoutMs", NumberRange.TIME_MS, DEFAULT_TIMEOUT_MS),
+                numberOr(item, "TargetLatencyMs", NumberRange.TIME_MS, 0),
+                priorityOr(item, 0, 1),
                 List.copyOf(backends),
-                (int) Math.max(1, longOr(item, "MaxAttempts", 1)),
+                Math.max(1, intOr(item, "MaxAttempts", NumberRange.COUNT, 1)),
                 item.getBoolean("Anonymous", false),
                 item.getBoolean("StreamResume", false),
-                longOr(item, "gap_aim_ms", 0));
+                numberOr(item, "gap_aim_ms", NumberRange.TIME_MS, 0));
     }
 
     private static List<Route.WeightedBackend> weightedBackends(JsonObject route) {
@@ -75,7 +90,8 @@
                 backends.add(
                         new Route.WeightedBackend(
                                 requiredString(item, "Backend"),
-                                requiredNumber(item, "Weight").doubleValue()));
+                                Amounts.clampWeight(
+                                        requiredNumber(item, "Weight").bigDecimalValue())));
             }
         } else {
             backends.add(new Route.WeightedBackend(requiredString(route, "Backend"), 1));
@@ -98,9 +114,9 @@
         JsonObject engine = objectOrEmpty(item, "Engine");
         return new Backend(
                 requiredString(item, "Name"),
-                (int) longOr(item, "MaxConnections", 0),
-                (int) longOr(engine, "Slots", 0),
-                longOr(engine, "KvTokens", 0));
+                intOr(item, "MaxConnections", NumberRange.COUNT, 0),
+                intOr(engine, "Slots", NumberRange.COUNT, 0),
+                numberOr(engine, "KvTokens", NumberRange.SIZE, 0));
     }
 
     private static Tenant tenant(JsonObject item) {
@@ -111,20 +127,21 @@
         return new Tenant(
                 requiredString(item, "Name"),
                 List.copyOf(keys),
-                (int) longOr(item, "Priority", -1),
+                priorityOr(item, NO_PRIORITY, NO_PRIORITY),
                 item.getString("Unit", "").equals("tokens"),
-                doubleOr(item, "PlainTokens", 1),
-                doubleOr(item, "RatePerS", 0),
-                doubleOr(item, "Burst", 0));
+                amountOr(item, "PlainTokens", 1),
+                amountOr(item, "RatePerS", 0),
+                amountOr(item, "Burst", 0));
     }
 
     private static ClientLimits clientLimits(JsonObject document) {
         JsonObject limits = objectOrEmpty(document, "Limits");
         ClientLimits defaults = ClientLimits.DEFAULT;
         return new ClientLimits(
-                (int) longOr(limits, "MaxHeaderBytes", defaults.maxHeaderBytes()),
-                (int) longOr(limits, "MaxBodyBytes", defaults.maxBodyBytes()),
-                longOr(limits, "HeaderTimeoutMs", defaults.headerTimeoutMs()),
-                longOr(limits, "IdleTimeoutMs", defaults.idleTimeoutMs()));
+                intOr(limits, "MaxHeaderBytes", NumberRange.COUNT, defaults.maxHeaderBytes()),
+                numberOr(limits, "MaxBodyBytes", NumberRange.SIZE, defaults.maxBodyBytes()),
+                numberOr(
+                        limits, "HeaderTimeoutMs", NumberRange.TIME_MS, defaults.headerTimeoutMs()),
+                numberOr(limits, "IdleTimeoutMs", NumberRange.TIME_MS, defaults.idleTimeoutMs()));
     }
 }
--- a/system/src/main/java/poppynotch/config/ConfigReader.java
+++ b/system/src/main/java/poppynotch/config/ConfigReader.java
@@ -5,6 +5,8 @@
 import jakarta.json.JsonReader;
 import jakarta.json.spi.JsonProvider;
 import java.io.ByteArrayInputStream;
+import java.util.function.Function;
+import poppynotch.numbers.InvalidNumberException;
 
 /** Reads and validates configurations in JSON, and reports errors in one line. */
 public final class ConfigReader {
@@ -14,14 +16,22 @@
 
     private ConfigReader() {}
 
-    /** Reads and validates a complete configuration. */
+    /** Reads and validates a complete configuration that is new. */
     public static ConfigResult read(byte[] json) {
+        return read(json, ConfigReader::check);
+    }
+
+    /**
+     * Reads a configuration that was accepted earlier, maybe by another version of the software.
+     */
+    public static ConfigResult readAccepted(byte[] json) {
+        return read(json, ConfigReader::decode);
+    }
+
+    private static ConfigResult read(byte[] json, Function<JsonObject, ConfigResult> decoder) {
         try {
-            return check(parse(json));
-        } catch (JsonException
-                | IllegalStateException
-                | ClassCastException
-                | ArithmeticException e) {
+            return decoder.apply(parse(json));
+        } catch (JsonException | IllegalStateException | ClassCastException e) {
             return new ConfigResult.Invalid("not readable as a configuration: " + firstLine(e));
         }
     }
@@ -37,19 +47,46 @@
         }
     }
 
+    /**
+     * The generation that a configuration or a patch states.
+     *
+     * @throws InvalidNumberException if it is not a whole number above 0
+     */
+    public static long generationOf(JsonObject document) {
+        return ConfigDecoder.generation(document);
+    }
+
     /** The JSON body of a response that reports an error. */
     public static String errorBody(String reason) {
         return JSON_PROVIDER.createObjectBuilder().add("Reason", reason).build().toString();
     }
 
-    /** Validates a complete configuration. */
+    /** Validates a complete configuration that is new. */
     public static ConfigResult check(JsonObject document) {
+        ConfigResult decoded = decode(document);
+        if (decoded instanceof ConfigResult.Valid) {
+            try {
+                ChangeValidator.check(document);
+            } catch (InvalidConfigException e) {
+                return new ConfigResult.Invalid(e.getMessage());
+            } catch (ClassCastException e) {
+                return wrongType(e);
+            }
+        }
+        return decoded;
+    }
+
+    private static ConfigResult wrongType(ClassCastException e) {
+        return new ConfigResult.Invalid("a member has the wrong type: " + firstLine(e));
+    }
+
+    private static ConfigResult decode(JsonObject document) {
         try {
             return new ConfigResult.Valid(document, ConfigDecoder.decode(document));
-        } catch (InvalidConfigException e) {
+        } catch (InvalidConfigException | InvalidNumberException e) {
             return new ConfigResult.Invalid(e.getMessage());
-        } catch (ClassCastException | ArithmeticException e) {
-            return new ConfigResult.Invalid("a member has the wrong type: " + firstLine(e));
+        } catch (ClassCastException e) {
+            return wrongType(e);
         }
     }
 
--- a/system/src/main/java/poppynotch/config/ConfigValidator.java
+++ b/system/src/main/java/poppynotch/config/ConfigValidator.java
@@ -14,10 +14,6 @@
 
     private ConfigValidator() {}
 
-    static void checkGeneration(long generation) {
-        require(generation > 0, "Generation must be above 0");
-    }
-
     /** Checks each route's timeout and backends, and that no two routes match the same requests. */
     static void checkRoutes(List<Route> routes, Map<String, Backend> backends) {
         Set<String> hostsAndPrefixes = new HashSet<>();
@@ -36,7 +32,7 @@
             require(
                     backends.containsKey(weighted.backend()),
                     "route " + route.name() + " names an unknown backend: " + weighted.backend());
-            require(weighted.weight() >= 0, "route " + route.name() + " has a negative weight");
+            require(weighted.weight() >= 0, "route " + route.name() + " has a negative Weight");
             sum += weighted.weight();
         }
         require(sum > 0, "the weights of route " + route.name() + " sum to 0");
--- a/system/src/main/java/poppynotch/config/JsonMembers.java
+++ b/system/src/main/java/poppynotch/config/JsonMembers.java
@@ -6,8 +6,11 @@
 import jakarta.json.JsonNumber;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonValue;
+import java.math.BigDecimal;
 import java.util.ArrayList;
 import java.util.List;
+import poppynotch.numbers.Amounts;
+import poppynotch.numbers.NumberRange;
 
 /**
  * Reads the members of JSON objects. Throws {@code ClassCastException} for a member of the wrong
@@ -15,6 +18,9 @@
  */
 final class JsonMembers {
 
+    private static final String PRIORITY = "Priority";
+    private static final int LEAST_URGENT_PRIORITY = 9;
+
     private JsonMembers() {}
 
     /** The objects of an array member; empty if the member is missing. */
@@ -41,11 +47,30 @@
         return from.getJsonNumber(key);
     }
 
-    static long longOr(JsonObject from, String key, long defaultValue) {
-        return from.containsKey(key) ? from.getJsonNumber(key).longValue() : defaultValue;
+    /** The whole number of a range that is nearest to a member. */
+    static long numberOr(JsonObject from, String key, NumberRange range, long defaultValue) {
+        return from.containsKey(key) ? range.clamp(decimal(from, key)) : defaultValue;
+    }
+
+    /** {@link #numberOr} for a range that an int can hold. */
+    static int intOr(JsonObject from, String key, NumberRange range, int defaultValue) {
+        return Math.toIntExact(numberOr(from, key, range, defaultValue));
+    }
+
+    /** The priority of a route or tenant, between {@code lowest} and the least urgent one. */
+    static int priorityOr(JsonObject from, int lowest, int defaultValue) {
+        NumberRange range = NumberRange.of(lowest, LEAST_URGENT_PRIORITY);
+        return from.containsKey(PRIORITY)
+                ? Math.toIntExact(range.clamp(decimal(from, PRIORITY)))
+                : defaultValue;
+    }
+
+    /** An amount with a fraction, which is not negative. */
+    static double amountOr(JsonObject from, String key, double defaultValue) {
+        return from.containsKey(key) ? Amounts.clampAmount(decimal(from, key)) : defaultValue;
     }
 
-    static double doubleOr(JsonObject from, String key, double defaultValue) {
-        return from.containsKey(key) ? from.getJsonNumber(key).doubleValue() : defaultValue;
+    static BigDecimal decimal(JsonObject from, String key) {
+        return from.getJsonNumber(key).bigDecimalValue();
     }
 }
--- a/system/src/main/java/poppynotch/control/ConfigChange.java
+++ b/system/src/main/java/poppynotch/control/ConfigChange.java
@@ -8,6 +8,7 @@
 import poppynotch.config.ConfigReader;
 import poppynotch.config.ConfigResult;
 import poppynotch.config.DocumentCodec;
+import poppynotch.numbers.InvalidNumberException;
 import poppynotch.register.ProposalOutcome;
 import poppynotch.register.RegisterValue;
 
@@ -68,15 +69,14 @@
             if (!body.containsKey("Generation")) {
                 return new ParseResult.Malformed("Generation is missing");
             }
-            // Throws ArithmeticException if it is not a whole number.
-            body.getJsonNumber("Generation").longValueExact();
+            ConfigReader.generationOf(body);
             return new ParseResult.Parsed(
                     new ConfigChange(
                             kind, baseGeneration, body, digestOf(kind, baseGeneration, content)));
         } catch (JsonException
                 | IllegalStateException
                 | ClassCastException
-                | ArithmeticException e) {
+                | InvalidNumberException e) {
             return new ParseResult.Malformed(
                     "not readable: "
                             + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
--- a/system/src/main/java/poppynotch/control/ControlApiRouter.java
+++ b/system/src/main/java/poppynotch/control/ControlApiRouter.java
@@ -18,6 +18,7 @@
 import org.slf4j.LoggerFactory;
 import poppynotch.config.ConfigReader;
 import poppynotch.control.ControlApi.Response;
+import poppynotch.numbers.NumberRange;
 import poppynotch.rollout.RolloutRequest;
 import poppynotch.settings.HostPort;
 import poppynotch.wire.ServerRecord;
@@ -39,6 +40,7 @@
     private static final String ROLLOUTS_PATH = "/poppynotch/rollouts";
     private static final String ROLLOUT_PREFIX = ROLLOUTS_PATH + "/";
     private static final String STATUS_PATH = "/poppynotch/status";
+    private static final NumberRange SEQUENCES = NumberRange.of(0, Long.MAX_VALUE);
     private static final String EMPTY_OBJECT = "{}";
 
     private static final JsonProvider JSON = JsonProvider.provider();
@@ -93,11 +95,12 @@
             byte[] body,
             Consumer<Response> callback) {
         long baseGeneration;
+        String match = request.headers().get(HttpHeaderNames.IF_MATCH, "0");
         try {
-            String match = request.headers().get(HttpHeaderNames.IF_MATCH, "0");
             baseGeneration = Long.parseLong(match.replace("\"", "").trim());
         } catch (NumberFormatException e) {
-            callback.accept(problem(HttpResponseStatus.BAD_REQUEST, "If-Match is no version"));
+            callback.accept(
+                    problem(HttpResponseStatus.BAD_REQUEST, "If-Match is no version: " + match));
             return;
         }
         ConfigChange.ParseResult parsed = ConfigChange.parse(kind, baseGeneration, body);
@@ -250,12 +253,20 @@
                 body.getString("Backend"),
                 body.getString("Address"),
                 body.getString("Zone", ""),
-                body.getInt("Slots", 1),
+                (int) numberOr(body, "Slots", NumberRange.COUNT, 1),
                 draining ? ServerState.DRAINING : ServerState.READY,
-                body.containsKey("Sequence") ? body.getJsonNumber("Sequence").longValue() : 0,
+                numberOr(body, "Sequence", SEQUENCES, 0),
                 version(body));
     }
 
+    /** A number of a registration, clamped to its range. */
+    private static long numberOr(
+            JsonObject body, String key, NumberRange range, long defaultValue) {
+        return body.containsKey(key)
+                ? range.clamp(body.getJsonNumber(key).bigDecimalValue())
+                : defaultValue;
+    }
+
     /** The version of a server's software; a number is taken as text, and others as unstated. */
     private static String version(JsonObject body) {
         JsonValue version = body.get("Generation");
--- a/system/src/main/java/poppynotch/control/RolloutOrder.java
+++ b/system/src/main/java/poppynotch/control/RolloutOrder.java
@@ -106,7 +106,7 @@
     }
 
     private static boolean isConfigured(RegisterValue value, String backend) {
-        return ConfigReader.read(DocumentCodec.decode(value.document()))
+        return ConfigReader.readAccepted(DocumentCodec.decode(value.document()))
                         instanceof ConfigResult.Valid valid
                 && valid.config().backends().containsKey(backend);
     }
--- a/system/src/main/java/poppynotch/router/ClientConnection.java
+++ b/system/src/main/java/poppynotch/router/ClientConnection.java
@@ -167,23 +167,30 @@
             rejectAndClose(tooLong ? LocalResponse.HEAD_TOO_LARGE : LocalResponse.MALFORMED);
             return;
         }
-        if (HttpUtil.getContentLength(request, 0L) > limits().maxBodyBytes()) {
+        long contentLength = HttpUtil.getContentLength(request, 0L);
+        if (contentLength > limits().maxBodyBytes()) {
             rejectAndClose(LocalResponse.BODY_TOO_LARGE);
             return;
         }
+        if (!edge.requestBodies().hasRoomFor(contentLength)) {
+            rejectAndClose(LocalResponse.OUT_OF_BODY_MEMORY);
+            return;
+        }
         keepAlive = HttpUtil.isKeepAlive(request);
         if (HttpUtil.is100ContinueExpected(request)) {
             ctx.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
-        assembler.start(request, ctx.alloc().heapBuffer(), nowMs);
+        assembler.start(request, edge.requestBodies().newBody(), nowMs);
     }
 
     private void onRequestContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
             rejectAndClose(LocalResponse.MALFORMED);
-        } else if (!assembler.append(content.content(), limits().maxBodyBytes())) {
+        } else if (assembler.sizeWith(content.content()) > limits().maxBodyBytes()) {
             rejectAndClose(LocalResponse.BODY_TOO_LARGE);
+        } else if (!assembler.append(content.content(), edge.requestBodies())) {
+            rejectAndClose(LocalResponse.OUT_OF_BODY_MEMORY);
         } else if (content instanceof LastHttpContent) {
             ClientRequest request = assembler.complete();
             responding = true;
@@ -196,7 +203,7 @@
         keepAlive = false;
         responding = true;
         assembler.discard();
-        writeLocal(response, 0);
+        writeLocal(response, response.retryAfterMs());
     }
 
     private void onRequest(ClientRequest request) {
--- a/system/src/main/java/poppynotch/router/ClientRequestAssembler.java
+++ b/system/src/main/java/poppynotch/router/ClientRequestAssembler.java
@@ -37,14 +37,19 @@
         startedMs = nowMs;
     }
 
+    /** The size that the body would have with {@code chunk}. */
+    long sizeWith(ByteBuf chunk) {
+        return (long) body.readableBytes() + chunk.readableBytes();
+    }
+
     /**
-     * Appends a chunk to the body unless the body would exceed the maximum size.
+     * Appends a chunk to the body unless there is no memory for it.
      *
      * @param chunk copied; ownership stays with the caller
      * @return whether the chunk was appended
      */
-    boolean append(ByteBuf chunk, long maxBodyBytes) {
-        if (body.readableBytes() + chunk.readableBytes() > maxBodyBytes) {
+    boolean append(ByteBuf chunk, RequestBodyMemory memory) {
+        if (!memory.hasRoomToAppend(body, chunk.readableBytes())) {
             return false;
         }
         body.writeBytes(chunk);
--- a/system/src/main/java/poppynotch/router/EdgeContext.java
+++ b/system/src/main/java/poppynotch/router/EdgeContext.java
@@ -32,6 +32,7 @@
     private final FleetState fleetState;
     private final UpstreamConnectionPool upstreamConnections;
     private final GracefulShutdown shutdown;
+    private final RequestBodyMemory requestBodies = RequestBodyMemory.ofHeap();
     private final FleetNotifier fleetNotifier;
     private final Set<RequestExchange> activeExchanges = new LinkedHashSet<>();
     private final Set<ClientConnection> clientConnections = new LinkedHashSet<>();
@@ -67,6 +68,11 @@
         return upstreamConnections;
     }
 
+    /** Allocates the bodies of client requests. */
+    RequestBodyMemory requestBodies() {
+        return requestBodies;
+    }
+
     GracefulShutdown shutdown() {
         return shutdown;
     }
--- a/system/src/main/java/poppynotch/router/EdgeServer.java
+++ b/system/src/main/java/poppynotch/router/EdgeServer.java
@@ -106,7 +106,9 @@
     public static EdgeServer start(ProcessSettings settings, EventLoopGroup group)
             throws IOException {
         return start(
-                settings, group, document -> ConfigReader.read(DocumentCodec.decode(document)));
+                settings,
+                group,
+                document -> ConfigReader.readAccepted(DocumentCodec.decode(document)));
     }
 
     /**
--- a/system/src/main/java/poppynotch/router/Headers.java
+++ b/system/src/main/java/poppynotch/router/Headers.java
@@ -1,5 +1,6 @@
 package poppynotch.router;
 
+import com.google.common.primitives.Ints;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -8,7 +9,11 @@
 import io.netty.util.AsciiString;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.NoSuchElementException;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import poppynotch.numbers.NumberRange;
 import poppynotch.pool.RequestProfile;
 import poppynotch.wire.PromptSegment;
 
@@ -82,17 +87,20 @@
             return Optional.empty();
         }
         int comma = value.indexOf(',');
-        try {
-            if (comma < 0) {
-                return Optional.of(new TokenCount(Integer.parseInt(value.trim()), 0));
-            }
-            return Optional.of(
-                    new TokenCount(
-                            Integer.parseInt(value.substring(0, comma).trim()),
-                            Integer.parseInt(value.substring(comma + 1).trim())));
-        } catch (NumberFormatException e) {
-            return Optional.empty();
-        }
+        OptionalInt promptTokens = parseCount(comma < 0 ? value : value.substring(0, comma));
+        OptionalInt outputTokens =
+                comma < 0 ? OptionalInt.of(0) : parseCount(value.substring(comma + 1));
+        return promptTokens.isPresent() && outputTokens.isPresent()
+                ? Optional.of(new TokenCount(promptTokens.getAsInt(), outputTokens.getAsInt()))
+                : Optional.empty();
+    }
+
+    /** A count; one that an int can't hold counts as the largest or smallest that it can. */
+    private static OptionalInt parseCount(String text) {
+        OptionalLong count = NumberRange.COUNT.parse(text);
+        return count.isPresent()
+                ? OptionalInt.of(Math.toIntExact(count.getAsLong()))
+                : OptionalInt.empty();
     }
 
     /** The properties of a request that the choice of a server depends on. */
@@ -103,7 +111,8 @@
             return RequestProfile.NO_PROMPT;
         }
         List<PromptSegment> prefixParts = prefix == null ? List.of() : promptParts(prefix);
-        int prefixTokens = prefixParts.stream().mapToInt(PromptSegment::tokens).sum();
+        int prefixTokens =
+                Ints.saturatedCast(prefixParts.stream().mapToLong(PromptSegment::tokens).sum());
         return new RequestProfile(
                 prefixParts,
                 tokens.map(count -> Math.max(prefixTokens, count.promptTokens()))
@@ -120,9 +129,9 @@
                 parts.add(
                         new PromptSegment(
                                 Long.parseUnsignedLong(part.substring(0, colon).trim(), HEX_RADIX),
-                                Integer.parseInt(part.substring(colon + 1).trim())));
+                                parseCount(part.substring(colon + 1)).orElseThrow()));
             }
-        } catch (NumberFormatException | IndexOutOfBoundsException e) {
+        } catch (NumberFormatException | NoSuchElementException | IndexOutOfBoundsException e) {
             // The parts before the malformed one still are a prefix of the prompt.
         }
         return List.copyOf(parts);
@@ -135,14 +144,17 @@
             return Optional.empty();
         }
         String[] numbers = value.split(",");
-        try {
-            return Optional.of(
-                    new ServerLoad(
-                            Integer.parseInt(numbers[0].trim()),
-                            Integer.parseInt(numbers[1].trim())));
-        } catch (NumberFormatException | IndexOutOfBoundsException e) {
-            return Optional.empty();
-        }
+        OptionalInt running = parseCount(numbers[0]);
+        OptionalInt waiting = numbers.length > 1 ? parseCount(numbers[1]) : OptionalInt.empty();
+        return running.isPresent() && waiting.isPresent()
+                ? Optional.of(new ServerLoad(running.getAsInt(), waiting.getAsInt()))
+                : Optional.empty();
+    }
+
+    /** How long a client waits for a response; empty if it states no time. */
+    static OptionalLong deadlineMs(HttpHeaders headers) {
+        String value = headers.get(DEADLINE);
+        return value == null ? OptionalLong.empty() : NumberRange.TIME_MS.parse(value);
     }
 
     /**
--- a/system/src/main/java/poppynotch/router/LocalResponse.java
+++ b/system/src/main/java/poppynotch/router/LocalResponse.java
@@ -21,6 +21,8 @@
     OVER_QUOTA(HttpResponseStatus.TOO_MANY_REQUESTS, 500),
     /** No server can accept the request. It was not executed and will not be. */
     NO_SERVER_AVAILABLE(HttpResponseStatus.SERVICE_UNAVAILABLE, 60),
+    /** The bodies of requests take all of their memory. It was not executed and will not be. */
+    OUT_OF_BODY_MEMORY(HttpResponseStatus.SERVICE_UNAVAILABLE, 500),
     /** A server failed. The request may have been executed. */
     SERVER_FAILED(HttpResponseStatus.BAD_GATEWAY, 0),
     /** The deadline has passed. The request may have been executed. */
--- a/system/src/main/java/poppynotch/router/RequestAdmission.java
+++ b/system/src/main/java/poppynotch/router/RequestAdmission.java
@@ -56,7 +56,8 @@
         if (route.isEmpty()) {
             return new Rejected(LocalResponse.NO_ROUTE, 0);
         }
-        long clientTimeoutMs = clientTimeoutMs(request.headers(), route.get());
+        long clientTimeoutMs =
+                Headers.deadlineMs(request.headers()).orElse(route.get().timeoutMs());
         if (config.tenants().isEmpty() || route.get().anonymous()) {
             return new Admitted(route.get(), QuotaReservation.NONE, clientTimeoutMs);
         }
@@ -106,17 +107,4 @@
                 .map(tokens -> (long) tokens.promptTokens() + tokens.maxOutputTokens())
                 .orElse((long) tenant.defaultRequestTokens());
     }
-
-    /** The timeout that the client states; the route's if there is none or it is malformed. */
-    private static long clientTimeoutMs(HttpHeaders headers, Route route) {
-        String value = headers.get(Headers.DEADLINE);
-        if (value == null) {
-            return route.timeoutMs();
-        }
-        try {
-            return Math.max(0, Long.parseLong(value.trim()));
-        } catch (NumberFormatException e) {
-            return route.timeoutMs();
-        }
-    }
 }
--- a/system/src/main/java/poppynotch/scale/SharedReader.java
+++ b/system/src/main/java/poppynotch/scale/SharedReader.java
@@ -25,7 +25,7 @@
     }
 
     static ConfigResult read(byte[] encoded) {
-        return ConfigReader.read(DocumentCodec.decode(encoded));
+        return ConfigReader.readAccepted(DocumentCodec.decode(encoded));
     }
 
     /** The configuration that was read last. */
--- a/system/src/main/java/poppynotch/settings/HostPort.java
+++ b/system/src/main/java/poppynotch/settings/HostPort.java
@@ -11,6 +11,7 @@
 public record HostPort(String host, int port) {
 
     private static final int MAX_PORT = 65535;
+    private static final int MAX_OCTET = 255;
 
     /**
      * Parses {@code HOST:PORT}.
@@ -39,7 +40,7 @@
             String[] octets = host.split("\\.");
             byte[] address = new byte[octets.length];
             for (int i = 0; i < octets.length; i++) {
-                address[i] = (byte) Integer.parseInt(octets[i]);
+                address[i] = octet(octets[i]);
             }
             return new InetSocketAddress(InetAddress.getByAddress(address), port);
         } catch (NumberFormatException | UnknownHostException e) {
@@ -47,6 +48,14 @@
         }
     }
 
+    private static byte octet(String text) {
+        int octet = Integer.parseInt(text);
+        if (octet < 0 || octet > MAX_OCTET) {
+            throw new NumberFormatException(text);
+        }
+        return (byte) octet;
+    }
+
     /** A copy with another port. */
     public HostPort withPort(int otherPort) {
         return new HostPort(host, otherPort);
--- a/system/src/main/java/poppynotch/settings/ProcessSettingsReader.java
+++ b/system/src/main/java/poppynotch/settings/ProcessSettingsReader.java
@@ -2,9 +2,11 @@
 
 import com.electronwill.nightconfig.core.Config;
 import com.electronwill.nightconfig.toml.TomlParser;
+import java.math.BigDecimal;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import poppynotch.numbers.NumberRange;
 
 /**
  * Reads {@link ProcessSettings} from one TOML text. Throws {@code ParsingException}, {@code
@@ -16,6 +18,10 @@
     private static final long DEFAULT_HEARTBEAT_MS = 1000;
     private static final int DEFAULT_TOLERATED_MACHINE_FAILURES = 1;
     private static final double MS_PER_S = 1000;
+    private static final NumberRange PORTS = NumberRange.of(0, 65_535);
+
+    /** More machines than any control plane has. */
+    private static final NumberRange MACHINES = NumberRange.of(0, 1000);
 
     private final Config config;
 
@@ -36,12 +42,16 @@
                 address("Bind.Front"),
                 address("Bind.Readiness"),
                 address("Bind.Control"),
-                ports.get(0).intValue(),
+                (int) PORTS.readExact("EphemeralPorts", decimal("EphemeralPorts", ports.get(0))),
                 seeds.stream().map(HostPort::parse).toList(),
                 Boolean.TRUE.equals(config.get("Bootstrap")),
                 dataDir(),
-                (long) numberOr("HeartbeatMs", DEFAULT_HEARTBEAT_MS),
-                (int) numberOr("FaultTolerance.Machines", DEFAULT_TOLERATED_MACHINE_FAILURES),
+                NumberRange.TIME_MS.clamp(numberOr("HeartbeatMs", DEFAULT_HEARTBEAT_MS)),
+                (int)
+                        MACHINES.clamp(
+                                numberOr(
+                                        "FaultTolerance.Machines",
+                                        DEFAULT_TOLERATED_MACHINE_FAILURES)),
                 limits());
     }
 
@@ -75,12 +85,26 @@
 
     private double numberOr(String key, double defaultValue) {
         Number value = config.get(key);
-        return value == null ? defaultValue : value.doubleValue();
+        if (value == null) {
+            return defaultValue;
+        }
+        if (Double.isNaN(value.doubleValue())) {
+            throw new IllegalArgumentException(key + " is not a number");
+        }
+        return value.doubleValue();
+    }
+
+    private static BigDecimal decimal(String key, Number value) {
+        double number = value.doubleValue();
+        if (Double.isNaN(number) || Double.isInfinite(number)) {
+            throw new IllegalArgumentException(key + " is not a number: " + value);
+        }
+        return new BigDecimal(value.toString());
     }
 
     /** A time that is set in seconds, converted to ms. */
     private long millisOfSecondsOr(String key, double defaultSeconds) {
-        return (long) (numberOr(key, defaultSeconds) * MS_PER_S);
+        return NumberRange.TIME_MS.clamp(numberOr(key, defaultSeconds) * MS_PER_S);
     }
 
     private Optional<Path> dataDir() {
--- a/system/src/test/java/poppynotch/control/ControlApiTest.java
+++ b/system/src/test/java/poppynotch/control/ControlApiTest.java
@@ -299,9 +299,22 @@
         assertThat(register("{\"Backend\":\"s\",\"Address\":\"nowhere\"}")).isEqualTo(400);
         assertThat(register("{\"Backend\":\"s\",\"Address\":\"name.example:80\"}")).isEqualTo(400);
         assertThat(register("{\"Backend\":\"s\",\"Address\":\"10.0.0.1:99999\"}")).isEqualTo(400);
+        assertThat(register("{\"Backend\":\"s\",\"Address\":\"10.0.0.300:80\"}")).isEqualTo(400);
+        assertThat(register("{\"Backend\":\"s\",\"Address\":\"10.0.0.-1:80\"}")).isEqualTo(400);
         assertThat(service.registered).isEmpty();
     }
 
+    /** Guards against a server whose slots or sequence wrap around. */
+    @Test
+    void clampsNumbersOfRegistrations() {
+        String body =
+                "{\"Backend\":\"s\",\"Address\":\"10.0.0.1:80\",\"Slots\":4294967300,"
+                        + "\"Sequence\":9223372036854775808}";
+        assertThat(register(body)).isEqualTo(200);
+        assertThat(service.registered.get(0).slots()).isEqualTo(Integer.MAX_VALUE);
+        assertThat(service.registered.get(0).sequence()).isEqualTo(Long.MAX_VALUE);
+    }
+
     @Test
     void answersChangesByTheirResult() {
         assertThat(call(HttpMethod.PUT, "/poppynotch/config", "0", VALID_CONFIG)).isEqualTo(200);
--- a/system/src/test/java/poppynotch/router/ClientConnectionTest.java
+++ b/system/src/test/java/poppynotch/router/ClientConnectionTest.java
@@ -17,6 +17,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import poppynotch.config.ConfigReader;
 import poppynotch.config.ConfigResult;
 
@@ -160,6 +162,41 @@
         assertThat(channel.isOpen()).isFalse();
     }
 
+    /** Guards against a limit that refuses what is far below it, as it does not fit into an int. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"2147483647", "2147483648", "4294967346", "9223372036854775808", "1e30"})
+    void acceptsRequestsBelowLargeLimits(String limit) {
+        String limits =
+                "\"MaxBodyBytes\":%s,\"MaxHeaderBytes\":%s,\"HeaderTimeoutMs\":%s,\"IdleTimeoutMs\":%s"
+                        .replace("%s", limit);
+        String json =
+                CONFIG.replace("\"MaxBodyBytes\":100", limits)
+                        .replace("\"Backend\":\"s\"", "\"Backend\":\"s\",\"TimeoutMs\":" + limit);
+        ConfigResult config = ConfigReader.read(json.getBytes(StandardCharsets.UTF_8));
+        edge.fleetState().configure(0, ((ConfigResult.Valid) config).config());
+        edge.clientConnections().forEach(client -> client.closeIfTimedOut(edge.nowMs()));
+        assertThat(send(post("/open/x", "", "x".repeat(5000)))).startsWith("HTTP/1.1 503");
+        assertThat(send(post("/open/x", "", ""))).startsWith("HTTP/1.1 503");
+        assertThat(channel.isOpen()).isTrue();
+    }
+
+    /** A limit beyond the edge's memory must not let one request take all of it. */
+    @Test
+    void rejectsBodyBeyondMemoryWithRetryAfter() {
+        String json = CONFIG.replace("\"MaxBodyBytes\":100", "\"MaxBodyBytes\":1e15");
+        ConfigResult config = ConfigReader.read(json.getBytes(StandardCharsets.UTF_8));
+        edge.fleetState().configure(0, ((ConfigResult.Valid) config).config());
+        String response =
+                send(
+                        "POST /open/x HTTP/1.1\r\n"
+                                + "Host: h.example\r\n"
+                                + "Content-Length: 99999999999\r\n\r\n");
+        assertThat(response).startsWith("HTTP/1.1 503");
+        assertThat(response).contains("retry-after: 0.5");
+        assertThat(response).contains("connection: close");
+    }
+
     @Test
     void rejectsMalformedRequestAndClosesConnection() {
         assertThat(send("nonsense\r\n\r\n")).startsWith("HTTP/1.1 400");
--- a/system/src/test/java/poppynotch/settings/ProcessSettingsTest.java
+++ b/system/src/test/java/poppynotch/settings/ProcessSettingsTest.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import poppynotch.numbers.NumberRange;
 
 /** Guards against misread settings, and against errors reported without the key or file. */
 class ProcessSettingsTest {
@@ -56,6 +57,30 @@
                 .isEqualTo(1);
     }
 
+    /** Guards against settings that wrap around or turn into 0 where a number is large or none. */
+    @Test
+    void clampsNumbersToWhatTheProcessCanHold() {
+        for (String number : new String[] {"2147483648", "9223372036854775807", "1e30", "inf"}) {
+            ProcessSettings settings =
+                    ((SettingsResult.Valid)
+                                    ProcessSettings.parse(
+                                            VALID_SETTINGS.replace("1200", number)
+                                                    + "GraceS = "
+                                                    + number
+                                                    + "\n[FaultTolerance]\nMachines = "
+                                                    + number))
+                            .settings();
+            assertThat(settings.heartbeatMs()).isAtLeast(Integer.MAX_VALUE);
+            assertThat(settings.heartbeatMs()).isAtMost(NumberRange.MAX_TIME_MS);
+            assertThat(settings.limits().graceMs()).isAtLeast(Integer.MAX_VALUE);
+            assertThat(settings.toleratedMachineFailures()).isAtLeast(9);
+            assertThat(2 * settings.toleratedMachineFailures() + 1).isGreaterThan(0);
+        }
+        assertThat(reasonOf(VALID_SETTINGS.replace("1200", "nan"))).contains("HeartbeatMs");
+        assertThat(reasonOf(VALID_SETTINGS.replace("[7500,7515]", "[4294974796,4294974800]")))
+                .contains("EphemeralPorts is 4294974796");
+    }
+
     @Test
     void reportsUnreadableFile() {
         SettingsResult result = ProcessSettings.read(Path.of("no-such-file.toml"));
