transport: names go out in heads as their UTF-8 bytes

Cause: the HTTP codec writes each char of a header as one byte and `?` for those above U+00FF; the name was given to it as it is.

Change: HeadText is the one place that puts text into a head and takes it out, as UTF-8. The same for ids in X-Poppynotch-Expect-Instance, which are also decoded where a path has them percent-encoded, and for the id of the last event on resume. A new configuration with a tenant's name that no header can carry gets 400; before, a control character made each request of the tenant fail.

--- a/sidecar/src/main/java/poppynotch/sidecar/EndpointConnection.java
+++ b/sidecar/src/main/java/poppynotch/sidecar/EndpointConnection.java
@@ -8,11 +8,11 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import poppynotch.balancer.AttemptOutcome;
+import poppynotch.transport.ByteExactRequestEncoder;
 
 /**
  * The handler of one connection to an endpoint: it writes one request at a time and reads its
@@ -179,7 +179,7 @@
 
     @Override
     public void channelRegistered(ChannelHandlerContext ctx) {
-        ctx.pipeline().addBefore(ctx.name(), null, new HttpRequestEncoder());
+        ctx.pipeline().addBefore(ctx.name(), null, new ByteExactRequestEncoder());
         ctx.pipeline().addBefore(ctx.name(), null, new InboundGate());
         ctx.pipeline().addBefore(ctx.name(), null, decoder);
         ctx.fireChannelRegistered();
--- a/sidecar/src/main/java/poppynotch/sidecar/RequestValidator.java
+++ b/sidecar/src/main/java/poppynotch/sidecar/RequestValidator.java
@@ -10,6 +10,7 @@
 import poppynotch.balancer.BalancerSettings;
 import poppynotch.balancer.Idempotency;
 import poppynotch.balancer.RequestClass;
+import poppynotch.transport.HeadText;
 
 /**
  * Checks a client's request against the settings: its method, its headers, and whether it matches
@@ -63,11 +64,11 @@
     Result validate(HttpRequest request, boolean hasBody) {
         HttpHeaders headers = request.headers();
         String id = headers.get(RequestHeaders.REQUEST_ID);
-        Integer classNumber = classNumbers.get(headers.get(RequestHeaders.REQUEST_CLASS, ""));
+        Integer classNumber = classNumbers.get(name(headers, RequestHeaders.REQUEST_CLASS));
         Integer tenantNumber =
                 tenantNumbers.isEmpty()
                         ? ONLY_TENANT
-                        : tenantNumbers.get(headers.get(RequestHeaders.TENANT, ""));
+                        : tenantNumbers.get(name(headers, RequestHeaders.TENANT));
         long budgetMs = parseDeadlineMs(headers.get(RequestHeaders.DEADLINE_MS, ""));
         if (!request.method().equals(HttpMethod.GET) && !request.method().equals(HttpMethod.POST)) {
             return new Invalid(
@@ -96,6 +97,11 @@
                 "1".equals(headers.get(RequestHeaders.RETRY)));
     }
 
+    /** The name in a header, empty if there is none; settings have it as Unicode text. */
+    private static String name(HttpHeaders headers, String header) {
+        return HeadText.decode(headers.get(header, ""));
+    }
+
     private static Invalid badRequest(String reason) {
         return new Invalid(HttpResponseStatus.BAD_REQUEST, reason);
     }
--- a/sidecar/src/main/java/poppynotch/sidecar/Warmup.java
+++ b/sidecar/src/main/java/poppynotch/sidecar/Warmup.java
@@ -34,6 +34,7 @@
 import poppynotch.balancer.RequestClass;
 import poppynotch.balancer.Server;
 import poppynotch.balancer.ServerState;
+import poppynotch.transport.HeadText;
 
 /**
  * Sends synthetic requests through a second set of the sidecar's parts, on addresses of its own, so
@@ -227,13 +228,14 @@
                                 : Unpooled.wrappedBuffer(new byte[BODY_BYTES]));
         request.headers()
                 .set(RequestHeaders.REQUEST_ID, "warm-up-" + rounds)
-                .set(RequestHeaders.REQUEST_CLASS, requestClass.name())
+                .set(RequestHeaders.REQUEST_CLASS, HeadText.encode(requestClass.name()))
                 .set(RequestHeaders.DEADLINE_MS, MAX_DURATION_MS)
                 .set("Host", "warm-up")
                 .set(RequestHeaders.IDEMPOTENCY_KEY, "0")
                 .set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
         if (!config.settings().tenants().isEmpty()) {
-            request.headers().set(RequestHeaders.TENANT, config.settings().tenants().get(0).name());
+            String tenant = config.settings().tenants().get(0).name();
+            request.headers().set(RequestHeaders.TENANT, HeadText.encode(tenant));
         }
         client.writeAndFlush(request);
     }
--- a/sidecar/src/test/java/poppynotch/sidecar/SidecarTest.java
+++ b/sidecar/src/test/java/poppynotch/sidecar/SidecarTest.java
@@ -7,6 +7,7 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -44,6 +45,46 @@
 
     // ---- requests and responses ----
 
+    /** Guards against tenants that are unknown because of the letters of their names. */
+    @Test
+    void servesTenantsByTheirUtf8Names() throws Exception {
+        String projects =
+                "\"settings\":{\"projects\":[{\"name\":\"ü\"},{\"name\":\"Ã¼\"},"
+                        + "{\"name\":\"Taş 🦊\"}],";
+        fixture =
+                new SidecarFixture(good()) {
+                    @Override
+                    String config() {
+                        return super.config().replace("\"settings\":{", projects);
+                    }
+                };
+        fixture.start();
+        for (String name : List.of("ü", "Ã¼", "Taş 🦊")) {
+            byte[] utf8 = name.getBytes(StandardCharsets.UTF_8);
+            assertEquals(200, sendAs(new String(utf8, StandardCharsets.ISO_8859_1)));
+        }
+        assertEquals(200, sendAs("\u00fc"));
+        assertEquals(400, sendAs("Ta?"));
+        String uri = "/api?q=\u00c5\u009f\u00fc";
+        try (RawHttpConnection connection = fixture.connect()) {
+            String request = tenantRequest("\u00fc").replace("/api?q=1", uri);
+            assertEquals(200, connection.send(request).read().status());
+        }
+        List<RawHttpConnection.Message> seen = fixture.endpoints.get(0).requests;
+        assertEquals("GET " + uri + " HTTP/1.1", seen.get(seen.size() - 1).line());
+    }
+
+    private String tenantRequest(String headerValue) {
+        return fixture.request("read", DEADLINE_MS)
+                .replace("Host:", "X-Tenant: " + headerValue + "\r\nHost:");
+    }
+
+    private int sendAs(String headerValue) throws IOException {
+        try (RawHttpConnection connection = fixture.connect()) {
+            return connection.send(tenantRequest(headerValue)).read().status();
+        }
+    }
+
     @Test
     void forwardsRequestAndResponseUnchanged() throws Exception {
         start(good());
--- a/system/src/main/java/poppynotch/config/ChangeValidator.java
+++ b/system/src/main/java/poppynotch/config/ChangeValidator.java
@@ -5,6 +5,7 @@
 import jakarta.json.JsonNumber;
 import jakarta.json.JsonObject;
 import java.util.List;
+import poppynotch.transport.HeadText;
 
 /**
  * Validates what only a new configuration has to fulfil: values that an edge could not apply as
@@ -38,6 +39,7 @@
         }
         for (JsonObject tenant : JsonMembers.objects(document, "Tenants")) {
             checkNotNegative("tenant " + name(tenant) + ": ", tenant, TENANT_NUMBERS);
+            checkTenantName(name(tenant));
         }
         checkNotNegative("Limits.", JsonMembers.objectOrEmpty(document, "Limits"), LIMITS);
     }
@@ -56,4 +58,13 @@
             }
         }
     }
+
+    /** Servers receive the name in a header. */
+    private static void checkTenantName(String name) {
+        require(
+                HeadText.isEncodable(name),
+                "tenant has a Name that no header can carry (empty, blank at an end, control"
+                        + " character or half a surrogate pair): "
+                        + HeadText.printable(name));
+    }
 }
--- a/system/src/main/java/poppynotch/control/ControlApiRouter.java
+++ b/system/src/main/java/poppynotch/control/ControlApiRouter.java
@@ -21,6 +21,7 @@
 import poppynotch.numbers.NumberRange;
 import poppynotch.rollout.RolloutRequest;
 import poppynotch.settings.HostPort;
+import poppynotch.transport.HeadText;
 import poppynotch.wire.ServerRecord;
 import poppynotch.wire.ServerState;
 
@@ -63,7 +64,10 @@
             routeConfig(request, body, callback);
         } else if (uri.startsWith(INSTANCES_PREFIX)) {
             routeInstance(
-                    request.method(), uri.substring(INSTANCES_PREFIX.length()), body, callback);
+                    request.method(),
+                    decodePath(uri.substring(INSTANCES_PREFIX.length())),
+                    body,
+                    callback);
         } else if (uri.equals(ROLLOUTS_PATH)) {
             routeRolloutOrder(request.method(), body, callback);
         } else if (uri.startsWith(ROLLOUT_PREFIX)) {
@@ -183,10 +187,11 @@
 
     /** A name in a path, which callers may have percent-encoded. */
     private static String decodePath(String encoded) {
+        String name = HeadText.decode(encoded);
         try {
-            return QueryStringDecoder.decodeComponent(encoded.replace("+", "%2B"));
+            return QueryStringDecoder.decodeComponent(name.replace("+", "%2B"));
         } catch (IllegalArgumentException e) {
-            return encoded;
+            return name;
         }
     }
 
@@ -209,6 +214,13 @@
 
     private void routeInstance(
             HttpMethod method, String id, byte[] body, Consumer<Response> callback) {
+        if (!HeadText.isEncodable(id)) {
+            callback.accept(
+                    problem(
+                            HttpResponseStatus.BAD_REQUEST,
+                            "no header can carry the id: " + HeadText.printable(id)));
+            return;
+        }
         Consumer<Boolean> onResult = accepted -> callback.accept(responseTo(accepted));
         if (method.equals(HttpMethod.DELETE)) {
             service.deregister(id, onResult);
--- a/system/src/main/java/poppynotch/router/EventStreamSplitter.java
+++ b/system/src/main/java/poppynotch/router/EventStreamSplitter.java
@@ -124,7 +124,7 @@
             if (startsWithIdField(event, start, end)) {
                 int valueStart = start + ID_FIELD.length;
                 return Optional.of(
-                        event.toString(valueStart, end - valueStart, StandardCharsets.UTF_8)
+                        event.toString(valueStart, end - valueStart, StandardCharsets.ISO_8859_1)
                                 .trim());
             }
             start = end + 1;
--- a/system/src/main/java/poppynotch/router/UpstreamConnection.java
+++ b/system/src/main/java/poppynotch/router/UpstreamConnection.java
@@ -11,7 +11,6 @@
 import io.netty.channel.socket.ChannelOutputShutdownException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -20,6 +19,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.function.LongSupplier;
 import poppynotch.settings.HostPort;
+import poppynotch.transport.ByteExactRequestEncoder;
 import poppynotch.transport.EndOfInputRecorder;
 import poppynotch.transport.StrictResponseDecoder;
 
@@ -216,7 +216,7 @@
 
     @Override
     public void channelRegistered(ChannelHandlerContext ctx) {
-        ctx.pipeline().addBefore(ctx.name(), null, new HttpRequestEncoder());
+        ctx.pipeline().addBefore(ctx.name(), null, new ByteExactRequestEncoder());
         ctx.pipeline().addBefore(ctx.name(), null, endOfInput);
         ctx.pipeline().addBefore(ctx.name(), null, decoder);
         ctx.fireChannelRegistered();
--- a/system/src/main/java/poppynotch/router/UpstreamRequestFactory.java
+++ b/system/src/main/java/poppynotch/router/UpstreamRequestFactory.java
@@ -10,6 +10,7 @@
 import poppynotch.config.Route;
 import poppynotch.config.Tenant;
 import poppynotch.pool.Slot;
+import poppynotch.transport.HeadText;
 
 /**
  * Creates the upstream requests for one client request, one for each attempt. Used on the edge's
@@ -53,10 +54,10 @@
         headers.remove(HttpHeaderNames.AUTHORIZATION);
         // A tenant header that the client has set is never forwarded.
         headers.remove(Headers.TENANT);
-        tenant.ifPresent(known -> headers.set(Headers.TENANT, known.name()));
+        tenant.ifPresent(known -> headers.set(Headers.TENANT, HeadText.encode(known.name())));
         headers.set(Headers.PRIORITY, priority);
         headers.set(Headers.DEADLINE, Math.max(1, deadlineMs - nowMs));
-        headers.set(Headers.EXPECT_INSTANCE, slot.serverId());
+        headers.set(Headers.EXPECT_INSTANCE, HeadText.encode(slot.serverId()));
         headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().readableBytes());
         lastEventId.ifPresent(id -> headers.set(Headers.LAST_EVENT_ID, id));
         return new DefaultFullHttpRequest(
--- a/system/src/test/java/poppynotch/config/ConfigNumbersTest.java
+++ b/system/src/test/java/poppynotch/config/ConfigNumbersTest.java
@@ -170,4 +170,19 @@
         FleetConfig config = ((ConfigResult.Valid) result).config();
         assertThat(config.tenants().get("t").isLimited()).isFalse();
     }
+
+    /** Servers are told the name in a header, which could not carry these. */
+    @Test
+    void refusesTenantNamesThatNoHeaderCanCarry() {
+        for (String name : List.of("", " t", "t ", "a\\nb", "a\\u0000", "\\ud83e")) {
+            ConfigResult result =
+                    read(CONFIG.replace("\"Name\":\"t\"", "\"Name\":\"" + name + "\""));
+            assertWithMessage(name).that(result).isInstanceOf(ConfigResult.Invalid.class);
+            String reason = ((ConfigResult.Invalid) result).reason();
+            assertThat(reason).contains("tenant has a Name");
+            assertThat(reason.lines().count()).isEqualTo(1);
+        }
+        assertThat(read(CONFIG.replace("\"Name\":\"t\"", "\"Name\":\"Taş Evi 🦊\"")))
+                .isInstanceOf(ConfigResult.Valid.class);
+    }
 }
--- a/system/src/test/java/poppynotch/control/ControlApiTest.java
+++ b/system/src/test/java/poppynotch/control/ControlApiTest.java
@@ -315,6 +315,24 @@
         assertThat(service.registered.get(0).sequence()).isEqualTo(Long.MAX_VALUE);
     }
 
+    /** Guards against ids that differ from those by which servers know themselves. */
+    @Test
+    void decodesIdsInPaths() {
+        String body = "{\"Backend\":\"s\",\"Address\":\"10.0.0.1:80\"}";
+        String received =
+                new String("ş".getBytes(StandardCharsets.UTF_8), StandardCharsets.ISO_8859_1);
+        for (String id : new String[] {"i-1", "a%2Db", "a+b", "%C5%9F", received}) {
+            call(HttpMethod.PUT, "/poppynotch/instances/" + id, null, body);
+        }
+        assertThat(service.registered.stream().map(ServerRecord::id))
+                .containsExactly("i-1", "a-b", "a+b", "ş", "ş")
+                .inOrder();
+        assertThat(call(HttpMethod.PUT, "/poppynotch/instances/a%0Ab", null, body)).isEqualTo(400);
+        assertThat(call(HttpMethod.DELETE, "/poppynotch/instances/", null, "")).isEqualTo(400);
+        assertThat(service.registered).hasSize(5);
+        assertThat(service.deregistered).isEmpty();
+    }
+
     @Test
     void answersChangesByTheirResult() {
         assertThat(call(HttpMethod.PUT, "/poppynotch/config", "0", VALID_CONFIG)).isEqualTo(200);
--- a/system/src/test/java/poppynotch/router/ExchangeHarness.java
+++ b/system/src/test/java/poppynotch/router/ExchangeHarness.java
@@ -162,6 +162,12 @@
 
     final RecordedResponse send(String path, HttpHeaders headers, long clientTimeoutMs)
             throws Exception {
+        return send(path, headers, clientTimeoutMs, QuotaReservation.NONE);
+    }
+
+    final RecordedResponse send(
+            String path, HttpHeaders headers, long clientTimeoutMs, QuotaReservation quota)
+            throws Exception {
         RecordedResponse client = new RecordedResponse();
         edge.loop()
                 .submit(
@@ -180,12 +186,7 @@
                                             .orElseThrow();
                             client.exchange =
                                     new RequestExchange(
-                                            edge,
-                                            request,
-                                            client,
-                                            route,
-                                            QuotaReservation.NONE,
-                                            clientTimeoutMs);
+                                            edge, request, client, route, quota, clientTimeoutMs);
                             client.exchange.start();
                         })
                 .sync();
