--- a/system/src/test/java/poppynotch/simulation/DepartureTimelineTest.java
+++ b/system/src/test/java/poppynotch/simulation/DepartureTimelineTest.java
@@ -109,6 +109,14 @@
         fleet.replicas().forEach(VirtualControlPlane::start);
     }
 
+    /** Kills all replicas, resumes the edge and starts the replicas again. */
+    private void restartAll() {
+        killAll();
+        edge().resume();
+        fleet.time().runUntil(RESTART_MS);
+        startAll();
+    }
+
     private static List<String> readyIds(VirtualEdge edge) {
         return edge.servers().stream()
                 .filter(server -> server.state() == ServerState.READY)
@@ -124,10 +132,7 @@
     private void checkKillOfAllReplicas(ClusterSize size, Departure departure) {
         startFleet(size);
         leave(0, SERVER, departure);
-        killAll();
-        edge().resume();
-        fleet.time().runUntil(RESTART_MS);
-        startAll();
+        restartAll();
         assertRespectedAt(RESPECTED_MS);
     }
 
@@ -196,10 +201,7 @@
         startFleet(ClusterSize.THREE);
         replica(2).kill();
         leave(0, SERVER, Departure.REMOVAL);
-        killAll();
-        edge().resume();
-        fleet.time().runUntil(RESTART_MS);
-        startAll();
+        restartAll();
         fleet.time().runUntil(RESTART_MS + 1000);
         register(2, SERVER, ServerState.READY);
         assertRespectedAt(RESPECTED_MS);
@@ -225,10 +227,7 @@
     void anotherServerMayUseTheAddressAfterRestart() {
         startFleet(ClusterSize.THREE);
         leave(0, SERVER, Departure.REMOVAL);
-        killAll();
-        edge().resume();
-        fleet.time().runUntil(RESTART_MS);
-        startAll();
+        restartAll();
         fleet.time().runUntil(RESTART_MS + 1000);
         register(1, "successor", ServerState.READY);
         assertRespectedAt(RESPECTED_MS);
