--- a/system/src/main/java/poppynotch/simulation/FaultInjector.java
+++ b/system/src/main/java/poppynotch/simulation/FaultInjector.java
@@ -224,38 +224,15 @@
     // ---- faults of many replicas, of edges and of servers ----
 
     private void injectIntoFleet(FaultInjection fault) {
-        VirtualEdge edge = fleet.edges().get(fault.target() % fleet.edges().size());
         switch (fault.kind()) {
             case SPLIT -> splitReplicas(fault.durationMs());
             case KILL_ALL -> fleet.replicas().forEach(this::restartAfterRandomDowntime);
             case BEHIND -> restartWithOutdatedReplicas(fault);
-            case EDGE_KILL -> {
-                edge.kill();
-                edge.seeds(seeds());
-                endAfter(fault.durationMs(), edge::start);
-            }
-            case EDGE_CUT ->
-                    partition(
-                            List.of(edge.name()),
-                            replicaNames(),
-                            NetworkPartition.Direction.BOTH,
-                            fault.durationMs());
+            case EDGE_KILL, EDGE_CUT, EDGE_FREEZE -> injectIntoEdge(fault);
             case DRAIN -> replaceReadyServer(fault.target()).drain();
             case SERVER_ENDS -> replaceReadyServer(fault.target()).announceShutdown();
-            case EDGE_FREEZE -> {
-                edge.freeze();
-                endAfter(fault.durationMs(), edge::resume);
-            }
-            case SERVER_LEAVES_THEN_KILL_ALL -> {
-                armAtNextAcknowledgement(
-                        VirtualServer.class, replica -> powerOffAll(fault.durationMs()));
-                startLeaving(fault.target());
-            }
-            case SERVER_LEAVES_THEN_WIPE_AND_POWER_LOSS -> {
-                armAtNextAcknowledgement(
-                        VirtualServer.class, replica -> wipeSomeAndPowerOff(List.of(replica)));
-                startLeaving(fault.target());
-            }
+            case SERVER_LEAVES_THEN_KILL_ALL, SERVER_LEAVES_THEN_WIPE_AND_POWER_LOSS ->
+                    loseReplicasAtDeparture(fault);
             case STORM -> fleet.operator().startStorm(fault.durationMs());
             case ROLLOUTS -> fleet.startRollouts();
             case FLOOD -> fleet.operator().startFlood(fault.durationMs());
@@ -285,6 +262,41 @@
         }
     }
 
+    private void injectIntoEdge(FaultInjection fault) {
+        VirtualEdge edge = fleet.edges().get(fault.target() % fleet.edges().size());
+        switch (fault.kind()) {
+            case EDGE_KILL -> {
+                edge.kill();
+                edge.seeds(seeds());
+                endAfter(fault.durationMs(), edge::start);
+            }
+            case EDGE_CUT ->
+                    partition(
+                            List.of(edge.name()),
+                            replicaNames(),
+                            NetworkPartition.Direction.BOTH,
+                            fault.durationMs());
+            default -> {
+                edge.freeze();
+                endAfter(fault.durationMs(), edge::resume);
+            }
+        }
+    }
+
+    private void loseReplicasAtDeparture(FaultInjection fault) {
+        boolean losesDisks = fault.kind().losesDisk();
+        armAtNextAcknowledgement(
+                VirtualServer.class,
+                replica -> {
+                    if (losesDisks) {
+                        wipeSomeAndPowerOff(List.of(replica));
+                    } else {
+                        powerOffAll(fault.durationMs());
+                    }
+                });
+        startLeaving(fault.target());
+    }
+
     /** A random selection of the replicas, at least one. */
     private List<VirtualControlPlane> randomReplicas() {
         List<VirtualControlPlane> selected = new ArrayList<>(fleet.replicas());
